Add the benchmark harness with four scenarios

Cause: the users' three measures and the behaviour under overload have to be measured against baselines in one run.

Change: package bench with an open-loop load (arrivals planned ahead by seed, latency from the intended arrival, lognormal sizes, bursts), the scenarios batch-harm, head-of-line, slow-targets and overload at the sizes of both users, text, JSON and HTML output, and the command bench. The demo's system takes options. HTTP servers no longer write broken connections to the standard logger.

--- /dev/null
+++ b/bench/batch.go
@@ -0,0 +1,91 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/agategap/agategap/demo"
+)
+
+// jobs are batch jobs under way.
+type jobs struct {
+	client *client
+	ids    []string
+	tokens int
+}
+
+// submit submits n jobs of some items, each item an answer of some tokens.
+func (c *client) submit(ctx context.Context, n, items, tokens int) (*jobs, error) {
+	j := &jobs{client: c, tokens: tokens}
+
+	for k := range n {
+		var b bytes.Buffer
+		for i := range items {
+			_, _ = fmt.Fprintf(&b, `{"custom_id":"i-%d","body":{"messages":[{"role":"user","content":"job %d item %d tokens=%d"}]}}`+"\n", i, k, i, tokens)
+		}
+
+		a, err := c.call(ctx, http.MethodPost, k, "/v1/batches?service="+c.demo.Service(), fmt.Sprintf("bench-%d", k), &b)
+		if err != nil {
+			return nil, err
+		}
+
+		j.ids = append(j.ids, a.ID)
+	}
+
+	return j, nil
+}
+
+// done returns the number of items that ended with a result.
+func (j *jobs) done(ctx context.Context) (int, error) {
+	n := 0
+
+	for k, id := range j.ids {
+		a, err := j.client.call(ctx, http.MethodGet, k, "/v1/batches/"+id, "", nil)
+		if err != nil {
+			return 0, err
+		}
+
+		n += a.Done
+	}
+
+	return n, nil
+}
+
+type jobAnswer struct {
+	ID   string `json:"id"`
+	Done int    `json:"done"`
+}
+
+func (c *client) call(ctx context.Context, method string, i int, path, key string, body *bytes.Buffer) (jobAnswer, error) {
+	var a jobAnswer
+
+	if body == nil {
+		body = &bytes.Buffer{}
+	}
+
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.demo.Caller(i)+path, body)
+	if err != nil {
+		return a, err
+	}
+
+	r.Header.Set("Authorization", "Bearer "+demo.Key)
+
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+
+	v, err := c.http.Do(r)
+	if err != nil {
+		return a, err
+	}
+	defer func() { _ = v.Body.Close() }()
+
+	if v.StatusCode >= http.StatusBadRequest {
+		return a, fmt.Errorf("%s %s: status %d", method, path, v.StatusCode)
+	}
+
+	return a, json.NewDecoder(v.Body).Decode(&a)
+}
--- /dev/null
+++ b/bench/format.go
@@ -0,0 +1,178 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"html/template"
+	"io"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// WriteText writes results for a reader at a terminal.
+func WriteText(w io.Writer, l []Result) {
+	for _, r := range l {
+		_, _ = fmt.Fprintf(w, "%-12s %-13s %-12s %-12s seed %d  ratio %.3f  bound %s %.2f  %s\n",
+			r.scenario, r.measure, r.options.size.name, r.options.policy, r.options.seed, r.ratio, r.sign(), r.bound, r.verdict())
+
+		for _, f := range r.figures {
+			_, _ = fmt.Fprintf(w, "    %-32s %.2f\n", f.name, f.value)
+		}
+	}
+}
+
+func (r Result) sign() string {
+	if r.atMost {
+		return "<="
+	}
+
+	return ">="
+}
+
+func (r Result) verdict() string {
+	if r.Met() {
+		return "met"
+	}
+
+	return "not met"
+}
+
+// record is a result in JSON.
+type record struct {
+	Scenario string             `json:"scenario"`
+	Measure  string             `json:"measure"`
+	Size     string             `json:"size"`
+	Policy   string             `json:"policy"`
+	Seed     uint64             `json:"seed"`
+	Figures  map[string]float64 `json:"figures"`
+	Ratio    float64            `json:"ratio"`
+	Target   float64            `json:"target"`
+	Sign     string             `json:"sign"`
+	Met      bool               `json:"met"`
+}
+
+// WriteJSON writes results as a JSON list.
+func WriteJSON(w io.Writer, l []Result) error {
+	v := make([]record, len(l))
+
+	for i, r := range l {
+		f := map[string]float64{}
+		for _, g := range r.figures {
+			f[g.name] = finite(g.value)
+		}
+
+		v[i] = record{
+			Scenario: r.scenario, Measure: r.measure, Size: r.options.size.name, Policy: r.options.policy, Seed: r.options.seed,
+			Figures: f, Ratio: finite(r.ratio), Target: r.bound, Sign: r.sign(), Met: r.Met(),
+		}
+	}
+
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+
+	return e.Encode(v)
+}
+
+// finite replaces values that JSON cannot carry, such as the ratio to an empty baseline.
+func finite(v float64) float64 {
+	if math.IsNaN(v) || math.IsInf(v, 0) {
+		return -1
+	}
+
+	return v
+}
+
+var page = template.Must(template.New("report").Parse(`<!doctype html>
+<html lang="en"><meta charset="utf-8"><title>agategap bench</title>
+<style>body{font:14px sans-serif;margin:2em;max-width:60em}table{border-collapse:collapse}td,th{padding:.2em .8em;text-align:right;border-bottom:1px solid #ddd}td:first-child,th:first-child{text-align:left}.bad{color:#b00}</style>
+<h1>agategap bench</h1>
+<table><tr><th>scenario</th><th>measure</th><th>size</th><th>policy</th><th>seed</th><th>ratio</th><th>bound</th><th></th></tr>
+{{range .}}<tr><td>{{.Scenario}}</td><td>{{.Measure}}</td><td>{{.Size}}</td><td>{{.Policy}}</td><td>{{.Seed}}</td><td>{{printf "%.3f" .Ratio}}</td><td>{{.Bound}}</td><td{{if not .Met}} class="bad"{{end}}>{{if .Met}}met{{else}}not met{{end}}</td></tr>
+{{end}}</table>
+{{range .}}{{if .Lines}}<h2>{{.Scenario}}, {{.Size}}, {{.Policy}}</h2>
+<svg width="640" height="300" viewBox="0 0 640 300">
+<line x1="50" y1="260" x2="620" y2="260" stroke="#888"/><line x1="50" y1="20" x2="50" y2="260" stroke="#888"/>
+{{range .Marks}}<text x="{{.X}}" y="276" font-size="11" text-anchor="middle">{{.Text}}</text><line x1="{{.X}}" y1="20" x2="{{.X}}" y2="260" stroke="#eee"/>
+{{end}}<text x="330" y="295" font-size="12" text-anchor="middle">latency, ms (log scale)</text><text x="8" y="30" font-size="12">100%</text><text x="20" y="260" font-size="12">0%</text>
+{{range .Lines}}<polyline fill="none" stroke="{{.Colour}}" stroke-width="2" points="{{.Points}}"/><text x="60" y="{{.Y}}" font-size="12" fill="{{.Colour}}">{{.Name}}</text>
+{{end}}</svg>{{end}}{{end}}</html>
+`))
+
+type view struct {
+	Scenario, Measure, Size, Policy string
+	Seed                            uint64
+	Ratio                           float64
+	Bound                           string
+	Met                             bool
+	Lines                           []plotLine
+	Marks                           []mark
+}
+
+type plotLine struct {
+	Name, Colour, Points string
+	Y                    int
+}
+
+type mark struct {
+	X    int
+	Text string
+}
+
+// WriteReport writes an HTML page with the latency distributions.
+func WriteReport(w io.Writer, l []Result) error {
+	var v []view
+	for _, r := range l {
+		v = append(v, view{
+			Scenario: r.scenario, Measure: r.measure, Size: r.options.size.name, Policy: r.options.policy, Seed: r.options.seed,
+			Ratio: r.ratio, Bound: fmt.Sprintf("%s %.2f", r.sign(), r.bound), Met: r.Met(), Lines: plot(r.latencies), Marks: marks(),
+		})
+	}
+
+	return page.Execute(w, v)
+}
+
+// The plot's area in pixels, and its range in decades from 1 ms.
+const (
+	plotLeft, plotWidth   = 50, 570
+	plotFloor, plotHeight = 260, 240
+	plotDecades           = 5
+	lineHeight            = 16
+)
+
+func marks() []mark {
+	var m []mark
+	for d := range plotDecades + 1 {
+		m = append(m, mark{X: plotLeft + d*plotWidth/plotDecades, Text: fmt.Sprintf("%g", math.Pow10(d))})
+	}
+
+	return m
+}
+
+func plot(h map[string]*hdrhistogram.Histogram) []plotLine {
+	colours := []string{"#1f6fb4", "#d1495b", "#3a8f4d", "#8a5fb5"}
+
+	var l []plotLine
+
+	for i, n := range slices.Sorted(maps.Keys(h)) {
+		l = append(l, plotLine{Name: n, Colour: colours[i%len(colours)], Points: points(h[n]), Y: plotHeight/8 + i*lineHeight})
+	}
+
+	return l
+}
+
+func points(h *hdrhistogram.Histogram) string {
+	const us = 1000
+
+	var b strings.Builder
+
+	for _, q := range h.CumulativeDistribution() {
+		d := min(max(math.Log10(max(float64(q.ValueAt)/us, 1)), 0), plotDecades)
+		_, _ = fmt.Fprintf(&b, "%.1f,%.1f ", plotLeft+d*plotWidth/plotDecades, plotFloor-q.Quantile/100*plotHeight)
+	}
+
+	return b.String()
+}
--- /dev/null
+++ b/bench/system.go
@@ -0,0 +1,59 @@
+package bench
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/agategap/agategap/config"
+	"github.com/agategap/agategap/demo"
+	"github.com/agategap/agategap/standin/engine"
+)
+
+// The engines of the benchmarks. A step of 10 ms with little growth per stream is an engine that is bound by
+// memory bandwidth; its capacity is streams / step, 1,379 tokens a second.
+const (
+	engineStreams    = 16
+	engineStepBase   = 10 * time.Millisecond
+	engineStepStream = 100 * time.Microsecond
+	enginePrefill    = 20 * time.Microsecond
+	engineLoadLag    = 3 * time.Second
+	// benchAppends keeps the log from being the bottleneck of what is measured here.
+	benchAppends = 2000
+)
+
+// capacity returns the tokens a second that the engines of a size generate when all their streams are in use.
+func (s Size) capacity() float64 {
+	step := engineStepBase + engineStreams*engineStepStream
+
+	return float64(s.workers) * engineStreams / step.Seconds()
+}
+
+// start starts the system of a run and waits until it is ready.
+func start(ctx context.Context, o Options) (*demo.Demo, error) {
+	d, err := demo.Start(ctx, demo.Options{
+		Domains: o.size.domains, Daemons: o.size.daemons, Workers: o.size.workers, Service: o.size.service,
+		Policy: o.policy, Appends: benchAppends, Batch: config.BatchSettings{ShardItems: 50}, //nolint:mnd // shards small enough for all daemons
+		Engine: engine.Options{
+			MaxStreams: engineStreams, StepBase: engineStepBase, StepStream: engineStepStream, PrefillToken: enginePrefill,
+			LoadLag: engineLoadLag, Seed: o.seed,
+		},
+	}, zerolog.Nop())
+	if err != nil {
+		return nil, err
+	}
+
+	const readyTimeout = 20 * time.Second
+
+	x, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+
+	if err := d.Ready(x); err != nil {
+		d.Stop()
+
+		return nil, err
+	}
+
+	return d, nil
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,6 +6,8 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"io"
+	"log"
 	mrand "math/rand/v2"
 	"net"
 	"net/http"
@@ -167,7 +169,10 @@
 }
 
 func (d *Daemon) serve(l net.Listener, h http.Handler) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ErrorLog: log.New(io.Discard, "", 0), // a caller's broken connection is no change of state
+	}
 
 	d.group.Add(func() error {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/demo/cases.go
+++ b/demo/cases.go
@@ -58,7 +58,7 @@
 		return "", err
 	}
 
-	b, err := d.call(ctx, d.Caller(daemonsPerDomain), "/services/billing/notices", "notice-1", body)
+	b, err := d.call(ctx, d.Caller(1), "/services/billing/notices", "notice-1", body)
 	if err != nil {
 		return "", err
 	}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -8,6 +8,8 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"time"
@@ -30,31 +32,72 @@
 // Key is the bearer key of the demo's account.
 const Key = "demo-key"
 
-var domains = []string{"kv-shah-alam", "kv-petaling", "kv-cheras"}
+const region = "klang-valley"
+
+// Options are the settings of a system. The zero value is the system of the demo command.
+type Options struct {
+	Domains []string       // failure domains
+	Daemons int            // daemons in all failure domains together
+	Workers int            // engine workers in all failure domains together
+	Service string         // name of the engines' service
+	Engine  engine.Options // settings of every engine; the models are set
+	Policy  string         // balancing policy of the daemons
+	Appends float64        // appends a second that the log takes; 0 for the stand-in's default
+	Batch   config.BatchSettings
+}
 
-const (
-	daemonsPerDomain = 2
-	enginesPerDomain = 3
-	region           = "klang-valley"
-)
+func (o *Options) setDefaults() {
+	if len(o.Domains) == 0 {
+		o.Domains = []string{"kv-shah-alam", "kv-petaling", "kv-cheras"}
+	}
+
+	if o.Daemons == 0 {
+		o.Daemons = 6
+	}
+
+	if o.Workers == 0 {
+		o.Workers = 9
+	}
+
+	if o.Service == "" {
+		o.Service = "signwriter"
+	}
+
+	if o.Policy == "" {
+		o.Policy = "owner"
+	}
+
+	if o.Batch.ShardItems == 0 {
+		o.Batch.ShardItems = 20
+	}
+
+	o.Engine.Models = []string{o.Service}
+}
 
 // Demo is the running system.
 type Demo struct {
+	options  Options
 	group    *errgroup.Group
 	stop     context.CancelFunc
 	ctx      context.Context //nolint:containedctx // the life of the system, not of a call
 	platform *standplatform.Platform
 	address  string
 	service  *service.Service
+	engines  []*engine.Engine
 	daemons  []*daemon.Daemon
 	vms      []platform.VM
 }
 
 // Start starts the system.
-func Start(ctx context.Context, z zerolog.Logger) (*Demo, error) {
+func Start(ctx context.Context, o Options, z zerolog.Logger) (*Demo, error) {
+	o.setDefaults()
+
 	x, stop := context.WithCancel(ctx)
 	g, x := errgroup.WithContext(x)
-	d := &Demo{group: g, ctx: x, stop: stop, platform: standplatform.New(standplatform.Options{}), service: &service.Service{}}
+	d := &Demo{
+		options: o, group: g, ctx: x, stop: stop, service: &service.Service{},
+		platform: standplatform.New(standplatform.Options{AppendsPerSecond: o.Appends}),
+	}
 
 	if err := d.start(z); err != nil {
 		stop()
@@ -73,8 +116,14 @@
 
 	d.address = a
 
-	for _, f := range domains {
-		if err := d.startTargets(f); err != nil {
+	for i := range d.options.Workers {
+		if err := d.startEngine(d.domain(i), i); err != nil {
+			return err
+		}
+	}
+
+	for _, f := range d.options.Domains {
+		if err := d.startService(f); err != nil {
 			return err
 		}
 	}
@@ -83,11 +132,9 @@
 		return err
 	}
 
-	for _, f := range domains {
-		for i := range daemonsPerDomain {
-			if err := d.startDaemon(f, i, z); err != nil {
-				return err
-			}
+	for i := range d.options.Daemons {
+		if err := d.startDaemon(d.domain(i), i, z); err != nil {
+			return err
 		}
 	}
 
@@ -96,22 +143,28 @@
 	return nil
 }
 
-func (d *Demo) startTargets(domain string) error {
-	for i := range enginesPerDomain {
-		e := engine.New(engine.Options{Models: []string{"signwriter"}, ChecksFencing: i == 0})
-		d.group.Go(func() error { e.Run(d.ctx.Done()); return nil })
+// domain returns the failure domain of VM number i; VMs are spread evenly.
+func (d *Demo) domain(i int) string { return d.options.Domains[i%len(d.options.Domains)] }
 
-		a, err := d.listen(e.Handler())
-		if err != nil {
-			return err
-		}
+func (d *Demo) startEngine(domain string, i int) error {
+	o := d.options.Engine
+	o.ChecksFencing = i%2 == 0
+	o.Seed = uint64(i) //nolint:gosec // a small index
 
-		d.vms = append(d.vms, platform.VM{
-			Name: fmt.Sprintf("%s-worker-%d", domain, i), Address: a, FailureDomain: domain, Region: region,
-			Role: platform.RoleTarget, Service: "signwriter", Kind: config.KindEngine, State: platform.StateLive,
-		})
-	}
+	e := engine.New(o)
+	d.engines = append(d.engines, e)
+	d.group.Go(func() error { e.Run(d.ctx.Done()); return nil })
 
+	a, err := d.listen(e.Handler())
+	d.vms = append(d.vms, platform.VM{
+		Name: fmt.Sprintf("%s-worker-%d", domain, i), Address: a, FailureDomain: domain, Region: region,
+		Role: platform.RoleTarget, Service: d.options.Service, Kind: config.KindEngine, State: platform.StateLive,
+	})
+
+	return err
+}
+
+func (d *Demo) startService(domain string) error {
 	a, err := d.listen(d.service.Handler())
 	d.vms = append(d.vms, platform.VM{
 		Name: domain + "-billing", Address: a, FailureDomain: domain, Region: region,
@@ -126,7 +179,7 @@
 
 	v, err := daemon.New(settings.Daemon{
 		VM: fmt.Sprintf("%s-entry-%d", domain, i), FailureDomain: domain, Region: region,
-		CallerAddress: any, OperatorAddress: any, PeerAddress: any, Platform: d.address, Policy: "owner",
+		CallerAddress: any, OperatorAddress: any, PeerAddress: any, Platform: d.address, Policy: d.options.Policy,
 	}, z)
 	if err != nil {
 		return err
@@ -150,9 +203,9 @@
 	t, err := config.Format(config.Document{
 		Partitions: 16, //nolint:mnd // the default
 		Accounts:   []config.AccountRecord{{Name: "lintas", KeyHashes: []string{hex.EncodeToString(h[:])}}},
-		Batch:      config.BatchSettings{ShardItems: 20}, //nolint:mnd // several shards even for a small job
+		Batch:      d.options.Batch,
 		Services: []config.ServiceRecord{
-			{Name: "signwriter", Kind: config.KindEngine, Idempotent: true, Deadline: ms(10_000), IdleBound: ms(2000), MaxAttempts: 3, Hedge: true},
+			{Name: d.options.Service, Kind: config.KindEngine, Idempotent: true, Deadline: ms(10_000), IdleBound: ms(2000), MaxAttempts: 3, Hedge: true},
 			{Name: "billing", Kind: config.KindPlain, Deadline: ms(10_000), IdleBound: ms(2000), MaxAttempts: 1, Lookup: true},
 		},
 	})
@@ -178,7 +231,7 @@
 
 	const headerTimeout = 5 * time.Second
 
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ErrorLog: log.New(io.Discard, "", 0)}
 
 	d.group.Go(func() error {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -234,5 +287,14 @@
 	return nil
 }
 
+// Daemons returns the number of daemons.
+func (d *Demo) Daemons() int { return len(d.daemons) }
+
+// Engines returns the engine stand-ins, for fault scripts.
+func (d *Demo) Engines() []*engine.Engine { return d.engines }
+
+// Service returns the name of the engines' service.
+func (d *Demo) Service() string { return d.options.Service }
+
 // Runs returns the number of calls that the plain service ran.
 func (d *Demo) Runs() int { return d.service.Total() }
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -49,6 +49,7 @@
 	cmdDump,
 	cmdDemo,
 	cmdStandin,
+	cmdBench,
 }
 
 // errUsage means that the arguments are wrong.
--- a/internal/cmd/cmd_demo.go
+++ b/internal/cmd/cmd_demo.go
@@ -23,7 +23,7 @@
 			return err
 		}
 
-		d, err := demo.Start(ctx, logger(e, *l))
+		d, err := demo.Start(ctx, demo.Options{}, logger(e, *l))
 		if err != nil {
 			return err
 		}
