--- /dev/null
+++ b/integration/log_test.go
@@ -0,0 +1,156 @@
+package integration_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against a refusal that says "not run" for work that ran, and against online work that stops with the log.
+func TestLogOutage(t *testing.T) {
+	s := newSystem(t, choice{daemons: 1})
+	n := s.nodes[0]
+
+	s.faults(map[string]any{"down": true})
+
+	Convey("While the log is down", t, func() {
+		Convey("online idempotent work goes on", func() {
+			So(s.chat(n.caller, 10).whole(10), ShouldBeTrue)
+		})
+		Convey("work that needs a record is refused, never runs, and runs once after the outage", func() {
+			s.faults(map[string]any{"down": true})
+
+			a := s.bill(n.caller, "outage-1", `{"outage":1}`)
+			So(a.status, ShouldEqual, http.StatusServiceUnavailable)
+			So(a.outcome(), ShouldEqual, "not_run")
+			So(s.bodyRuns()[`{"outage":1}`], ShouldEqual, 0)
+
+			s.faults(map[string]any{})
+			s.eventually(10*time.Second, "the call succeeds after the outage", func() bool {
+				return s.bill(n.caller, "outage-1", `{"outage":1}`).status == http.StatusOK
+			})
+			So(s.bodyRuns()[`{"outage":1}`], ShouldEqual, 1)
+		})
+	})
+}
+
+// Guards against an append whose answer was lost being taken for a success or a failure.
+func TestLostAppendAnswers(t *testing.T) {
+	s := newSystem(t, choice{daemons: 1})
+
+	const calls = 60
+
+	var mu sync.Mutex
+
+	got := map[string]answer{}
+
+	s.faults(map[string]any{"lost_share": 0.5})
+
+	var wg sync.WaitGroup
+
+	for i := range calls {
+		wg.Go(func() {
+			b := fmt.Sprintf(`{"lost":%d}`, i)
+			a := s.bill(s.nodes[i%len(s.nodes)].caller, fmt.Sprintf("lost-%d", i), b)
+
+			mu.Lock()
+			defer mu.Unlock()
+
+			got[b] = a
+		})
+	}
+
+	wg.Wait()
+	s.faults(map[string]any{})
+
+	Convey("When half of the append answers are lost", t, func() {
+		runs := s.bodyRuns()
+		ok := 0
+
+		for i := range calls {
+			b := fmt.Sprintf(`{"lost":%d}`, i)
+			a := got[b]
+
+			So(runs[b], ShouldBeLessThanOrEqualTo, 1)
+
+			switch {
+			case a.status == http.StatusOK:
+				ok++
+
+				So(runs[b], ShouldEqual, 1)
+			case a.outcome() == "not_run":
+				So(runs[b], ShouldEqual, 0)
+			}
+		}
+
+		Convey("most calls succeed, and a resent one gives the same answer without a second run", func() {
+			So(ok, ShouldBeGreaterThan, calls/2)
+
+			for i := range calls {
+				b := fmt.Sprintf(`{"lost":%d}`, i)
+				if a := got[b]; a.status == http.StatusOK {
+					So(s.bill(s.nodes[(i+1)%len(s.nodes)].caller, fmt.Sprintf("lost-%d", i), b).body, ShouldEqual, a.body)
+				}
+			}
+
+			So(s.bodyRuns()[`{"lost":0}`], ShouldBeLessThanOrEqualTo, 1)
+		})
+	})
+}
+
+// Guards against a slow log that makes recorded work fail or run twice.
+func TestSlowLog(t *testing.T) {
+	s := newSystem(t, choice{daemons: 1})
+	n := s.nodes[0]
+
+	n.platform.setDelay(150 * time.Millisecond)
+
+	Convey("While every byte to and from the log takes 150 ms more", t, func() {
+		So(s.chat(n.caller, 10).whole(10), ShouldBeTrue)
+		So(s.bill(n.caller, "slow-1", `{"slow":1}`).status, ShouldEqual, http.StatusOK)
+		So(s.bill(s.nodes[1].caller, "slow-1", `{"slow":1}`).status, ShouldEqual, http.StatusOK)
+		So(s.bodyRuns()[`{"slow":1}`], ShouldEqual, 1)
+	})
+}
+
+// Guards against a failure domain that stops, or changes its mind, when it is cut off from the platform.
+func TestFailureDomainCutOffFromThePlatform(t *testing.T) {
+	s := newSystem(t, choice{daemons: 1})
+	n := s.nodes[0]
+
+	n.platform.setCut(true)
+
+	Convey("Given a failure domain that is cut off from the platform", t, func() {
+		for range 5 {
+			So(s.chat(n.caller, 10).whole(10), ShouldBeTrue)
+		}
+
+		code, out := s.publish(1, configurationText()+"# published during the cut\n")
+		So(out, ShouldContainSubstring, "in force")
+		So(code, ShouldEqual, 0)
+
+		n.platform.setCut(false)
+
+		Convey("it adopts what was published in the meantime once it is healed", func() {
+			s.eventually(16*time.Second, "the new version is adopted", func() bool { return s.version(n) == 2 })
+			So(s.chat(n.caller, 10).whole(10), ShouldBeTrue)
+		})
+	})
+}
+
+// version returns the version of configuration that a daemon has in force.
+func (s *system) version(n *node) int64 {
+	var v struct {
+		Config struct {
+			Version int64 `json:"version"`
+		} `json:"config"`
+	}
+
+	s.getJSON(n.operator, "/dump", &v)
+
+	return v.Config.Version
+}
--- /dev/null
+++ b/integration/system_test.go
@@ -0,0 +1,520 @@
+package integration_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// program is the path of the built command.
+var program string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	d, err := os.MkdirTemp("", "agategap")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+
+		return 1
+	}
+	defer os.RemoveAll(d)
+
+	program = filepath.Join(d, "agategap")
+	if b, err := exec.Command("go", "build", "-o", program, "..").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s\n%s", err, b)
+
+		return 1
+	}
+
+	return m.Run()
+}
+
+const (
+	callerKey = "integration-key"
+	otherKey  = "other-key"
+	peerKey   = "0123456789abcdef"
+)
+
+var domains = []string{"kv-shah-alam", "kv-petaling", "kv-cheras"}
+
+// process is a running command.
+type process struct {
+	cmd     *exec.Cmd
+	address string
+	done    chan struct{}
+}
+
+// start starts the command and waits for the line that names its address, if there is one to wait for.
+func start(t *testing.T, marker string, args ...string) *process {
+	t.Helper()
+
+	c := exec.Command(program, args...)
+	c.Stderr = os.Stderr
+
+	o, err := c.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+
+	p := &process{cmd: c, done: make(chan struct{})}
+	lines := make(chan string, 16)
+
+	go func() {
+		for s := bufio.NewScanner(o); s.Scan(); {
+			select {
+			case lines <- s.Text():
+			default:
+			}
+		}
+
+		_ = c.Wait()
+		close(p.done)
+	}()
+
+	t.Cleanup(p.kill)
+
+	if marker == "" {
+		return p
+	}
+
+	select {
+	case l := <-lines:
+		p.address = strings.TrimPrefix(l, marker)
+	case <-time.After(20 * time.Second):
+		t.Fatalf("%v did not start", args)
+	}
+
+	return p
+}
+
+func (p *process) kill() {
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// node is one daemon with its settings.
+type node struct {
+	*process
+	vm, domain, caller, operator, peer, settings string
+	platform                                     *proxy
+}
+
+// system is a whole small system of processes.
+type system struct {
+	t        *testing.T
+	platform *process
+	engines  []*process
+	front    []*proxy // one in front of each engine
+	services []*process
+	nodes    []*node
+	list     []map[string]string
+	dir      string
+}
+
+type choice struct {
+	daemons int // in each failure domain
+	config  string
+	engine  []string // more flags of the engines
+	service []string // more flags of the plain services
+}
+
+const configuration = `
+partitions = 8
+
+[bounds]
+record_wait = "1s"
+
+[batch]
+shard_items = 25
+max_attempts = 3
+lease = "2s"
+pause_bound = "1s"
+cutoff_run_bound = "3s"
+retain = "1h"
+
+[[accounts]]
+name = "lintas"
+key_hashes = ["%s"]
+
+[[accounts]]
+name = "other"
+key_hashes = ["%s"]
+
+[[services]]
+name = "signwriter"
+kind = "engine"
+idempotent = true
+deadline = "20s"
+idle_bound = "500ms"
+max_attempts = 3
+
+[[services]]
+name = "billing"
+kind = "plain"
+deadline = "20s"
+idle_bound = "1s"
+max_attempts = 1
+lookup = true
+`
+
+// newSystem starts a platform, an engine and a plain service in each failure domain, and daemons.
+func newSystem(t *testing.T, c choice) *system {
+	t.Helper()
+
+	s := &system{t: t, dir: t.TempDir()}
+	s.platform = start(t, "listening on ", "standin", "platform", "-address", "127.0.0.1:0")
+
+	for _, d := range domains {
+		e := start(t, "listening on ", append([]string{"standin", "engine", "-address", "127.0.0.1:0", "-models", "signwriter"}, c.engine...)...)
+		s.engines = append(s.engines, e)
+
+		p := s.proxy(e.address)
+		s.front = append(s.front, p)
+		s.add(d+"-worker", p.address(), "", d, "target", "signwriter")
+
+		b := start(t, "listening on ", append([]string{"standin", "service", "-address", "127.0.0.1:0"}, c.service...)...)
+		s.services = append(s.services, b)
+		s.add(d+"-billing", b.address, "", d, "target", "billing")
+	}
+
+	for i := range c.daemons * len(domains) {
+		s.nodes = append(s.nodes, s.newNode(i, domains[i%len(domains)]))
+	}
+
+	s.publishList()
+
+	if n, out := s.publish(0, configurationText()+c.config); n != 0 {
+		t.Fatal(out)
+	}
+
+	for _, n := range s.nodes {
+		s.startNode(n)
+	}
+
+	for _, n := range s.nodes {
+		s.ready(n)
+	}
+
+	return s
+}
+
+func hash(key string) string {
+	h := sha256.Sum256([]byte(key))
+
+	return hex.EncodeToString(h[:])
+}
+
+func (s *system) proxy(target string) *proxy {
+	s.t.Helper()
+
+	p, err := newProxy(target)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+
+	s.t.Cleanup(p.close)
+
+	return p
+}
+
+func (s *system) add(name, address, peer, domain, role, service string) {
+	s.list = append(s.list, map[string]string{
+		"name": name, "address": address, "peer_address": peer, "failure_domain": domain, "region": "klang-valley",
+		"role": role, "service": service, "state": "live",
+	})
+}
+
+func (s *system) publishList() {
+	s.t.Helper()
+	s.control(s.platform.address, "/control/vms", s.list)
+}
+
+// control sends a value to the control interface of a stand-in.
+func (s *system) control(address, path string, v any) {
+	s.t.Helper()
+
+	b, _ := json.Marshal(v)
+
+	r, _ := http.NewRequest(http.MethodPut, "http://"+address+path, bytes.NewReader(b))
+
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer a.Body.Close()
+
+	if a.StatusCode != http.StatusOK {
+		s.t.Fatalf("%s: status %d", path, a.StatusCode)
+	}
+}
+
+func (s *system) faults(v any) { s.control(s.platform.address, "/control/faults", v) }
+
+// newNode chooses the addresses of a daemon and writes its settings.
+func (s *system) newNode(i int, domain string) *node {
+	s.t.Helper()
+
+	a := freeAddresses(s.t, 3)
+	n := &node{vm: fmt.Sprintf("%s-entry-%d", domain, i), domain: domain, caller: a[0], operator: a[1], peer: a[2], platform: s.proxy(s.platform.address)}
+	n.settings = filepath.Join(s.dir, n.vm+".toml")
+
+	text := fmt.Sprintf("vm = %q\nfailure_domain = %q\nregion = \"klang-valley\"\ncaller_address = %q\noperator_address = %q\npeer_address = %q\n"+
+		"platform = %q\npeer_keys = [%q]\nlog_level = \"error\"\ndrain_wait = \"300ms\"\ndrain_most = \"10s\"\n",
+		n.vm, domain, n.caller, n.operator, n.peer, n.platform.address(), peerKey)
+	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+
+	s.add(n.vm, n.caller, n.peer, domain, "entry", "")
+
+	return n
+}
+
+func (s *system) startNode(n *node) {
+	s.t.Helper()
+	n.process = start(s.t, "", "serve", "-settings", n.settings)
+}
+
+// ready waits until a daemon says that it is ready.
+func (s *system) ready(n *node) {
+	s.t.Helper()
+
+	s.eventually(20*time.Second, n.vm+" is ready", func() bool {
+		a, err := http.Get("http://" + n.operator + "/ready")
+		if err != nil {
+			return false
+		}
+		defer a.Body.Close()
+
+		return a.StatusCode == http.StatusOK
+	})
+}
+
+func (s *system) eventually(d time.Duration, what string, f func() bool) {
+	s.t.Helper()
+
+	for end := time.Now().Add(d); ; time.Sleep(50 * time.Millisecond) {
+		if f() {
+			return
+		}
+
+		if time.Now().After(end) {
+			s.t.Fatalf("not within %s: %s", d, what)
+		}
+	}
+}
+
+// publish publishes a configuration and returns the exit code and the output of the command.
+func (s *system) publish(basedOn int64, text string) (int, string) {
+	s.t.Helper()
+
+	f := filepath.Join(s.dir, "config.toml")
+	if err := os.WriteFile(f, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+
+	b, err := exec.Command(program, "publish", "-platform", s.platform.address, "-based-on", fmt.Sprint(basedOn), "-author", "test", f).CombinedOutput()
+
+	var x *exec.ExitError
+
+	switch {
+	case err == nil:
+		return 0, string(b)
+	case errors.As(err, &x):
+		return x.ExitCode(), string(b)
+	default:
+		s.t.Fatal(err)
+
+		return 0, ""
+	}
+}
+
+// answer is what a caller receives.
+type answer struct {
+	status int
+	body   string
+	err    error
+}
+
+// outcome returns the outcome that an error answer states.
+func (a answer) outcome() string {
+	var v struct {
+		Error struct {
+			Outcome string `json:"outcome"`
+		} `json:"error"`
+	}
+
+	_ = json.Unmarshal([]byte(a.body), &v)
+
+	return v.Error.Outcome
+}
+
+func (s *system) call(address, method, path, key, body string) answer {
+	return s.callAs(callerKey, address, method, path, key, body)
+}
+
+func (s *system) callAs(bearer, address, method, path, key, body string) answer {
+	x, stop := context.WithTimeout(context.Background(), 25*time.Second)
+	defer stop()
+
+	r, _ := http.NewRequestWithContext(x, method, "http://"+address+path, strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer "+bearer)
+
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer a.Body.Close()
+
+	b, err := io.ReadAll(a.Body)
+
+	return answer{status: a.StatusCode, body: string(b), err: err}
+}
+
+// chat makes a streamed chat completion of some tokens.
+func (s *system) chat(address string, tokens int) answer {
+	return s.call(address, http.MethodPost, "/v1/chat/completions", "",
+		fmt.Sprintf(`{"model":"signwriter","stream":true,"messages":[{"role":"user","content":"tokens=%d"}]}`, tokens))
+}
+
+// whole reports whether a stream has all its tokens, once and in order, and its end marker.
+func (a answer) whole(tokens int) bool {
+	n := 0
+
+	for _, l := range strings.Split(a.body, "\n") {
+		var v struct {
+			Index *int `json:"token_index"`
+		}
+
+		d, ok := strings.CutPrefix(l, "data: {")
+		if !ok {
+			continue
+		}
+
+		if json.Unmarshal([]byte("{"+d), &v) != nil || v.Index == nil || *v.Index != n {
+			return false
+		}
+
+		n++
+	}
+
+	return a.err == nil && n == tokens && strings.HasSuffix(a.body, "data: [DONE]\n\n")
+}
+
+func (s *system) bill(address, key, body string) answer {
+	return s.call(address, http.MethodPost, "/services/billing/notices", key, body)
+}
+
+// bodyRuns returns how often a body ran at the plain services, all together.
+func (s *system) bodyRuns() map[string]int {
+	s.t.Helper()
+
+	n := map[string]int{}
+
+	for _, b := range s.services {
+		var v struct {
+			Bodies map[string]int `json:"bodies"`
+		}
+
+		s.getJSON(b.address, "/control/counts", &v)
+
+		for k, c := range v.Bodies {
+			n[k] += c
+		}
+	}
+
+	return n
+}
+
+func (s *system) getJSON(address, path string, v any) {
+	s.t.Helper()
+
+	a, err := http.Get("http://" + address + path)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer a.Body.Close()
+
+	if err := json.NewDecoder(a.Body).Decode(v); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// job is the status of a batch job.
+type job struct {
+	ID      string `json:"id"`
+	State   string `json:"state"`
+	Items   int    `json:"items"`
+	Done    int    `json:"done"`
+	Failed  int    `json:"failed"`
+	Unknown int    `json:"unknown"`
+	Pending int    `json:"pending"`
+}
+
+func (s *system) submit(address, service, key, body string) (job, answer) {
+	a := s.call(address, http.MethodPost, "/v1/batches?service="+service+"&path=/v1/chat/completions", key, body)
+
+	var j job
+
+	_ = json.Unmarshal([]byte(a.body), &j)
+
+	return j, a
+}
+
+func (s *system) status(address, id string) (job, answer) {
+	a := s.call(address, http.MethodGet, "/v1/batches/"+id, "", "")
+
+	var j job
+
+	_ = json.Unmarshal([]byte(a.body), &j)
+
+	return j, a
+}
+
+// items returns the body of a job; every item in bad can never be done.
+func items(n, tokens int, bad map[int]bool) string {
+	var b strings.Builder
+
+	for i := range n {
+		p := fmt.Sprintf("item %d tokens=%d", i, tokens)
+		if bad[i] {
+			p = "fail:always"
+		}
+
+		fmt.Fprintf(&b, `{"custom_id":"i-%d","body":{"messages":[{"role":"user","content":%q}]}}`+"\n", i, p)
+	}
+
+	return b.String()
+}
+
+func configurationText() string {
+	return fmt.Sprintf(configuration, hash(callerKey), hash(otherKey))
+}
