--- a/controller/config.go
+++ b/controller/config.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"sync"
 	"time"
 
@@ -43,8 +44,13 @@
 	logger zerolog.Logger
 	ledger config.Ledger
 
+	republish Republisher
+	retention time.Duration
+	clock     func() time.Time
+	offset    int64     // of the last replayed record; used by Run only
+	carried   time.Time // log's time of the newest record that carries the version in force; used by Run only
+
 	mu       sync.RWMutex
-	offset   int64
 	accounts map[string]filter.Account
 	services map[string]filter.Service
 	changed  chan struct{}
@@ -55,10 +61,33 @@
 	return &Config{log: l, codec: c, logger: z, changed: make(chan struct{})}
 }
 
+// Republisher appends the version in force to the log again.
+type Republisher interface {
+	// Elected reports whether this daemon is the one that republishes.
+	Elected() bool
+	// Republish appends v. A second copy has no effect.
+	Republish(ctx context.Context, v config.Version) error
+}
+
+// SetRepublisher lets the controller republish the version in force before a log that keeps records for a retention
+// time drops it. It is called before Run.
+func (c *Config) SetRepublisher(r Republisher, retention time.Duration, clock func() time.Time) {
+	c.republish, c.retention, c.clock = r, retention, clock
+}
+
 // Run follows the stream until ctx ends.
 func (c *Config) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		p, err := c.log.Read(ctx, ConfigStream, c.offset+1, readWait)
+
+		if errors.Is(err, stream.ErrDropped) && p.Oldest() > c.offset+1 {
+			c.logger.Warn().Int64("offset", c.offset).Int64("oldest", p.Oldest()).Msg("the log dropped configuration records before they were read")
+			c.ledger.Restart(p.Oldest())
+			c.offset = p.Oldest() - 1
+
+			continue
+		}
+
 		if err != nil {
 			sleep(ctx, retryDelay)
 
@@ -68,11 +97,34 @@
 		for _, e := range p.Entries() {
 			c.replay(e)
 		}
+
+		if c.due() {
+			c.restate(ctx)
+		}
 	}
 
 	return nil
 }
 
+// republishShare is the share of the retention after which the version in force is republished.
+const republishShare = 4
+
+func (c *Config) due() bool {
+	return c.republish != nil && !c.carried.IsZero() && c.clock().Sub(c.carried) >= c.retention/republishShare && c.republish.Elected()
+}
+
+func (c *Config) restate(ctx context.Context) {
+	v, ok := c.ledger.Restate(c.offset)
+	if !ok {
+		return
+	}
+
+	if err := c.republish.Republish(ctx, v); err != nil {
+		c.logger.Warn().Err(err).Msg("the configuration was not republished")
+		sleep(ctx, retryDelay)
+	}
+}
+
 func (c *Config) replay(e stream.Entry) {
 	c.offset = e.Offset()
 
@@ -88,11 +140,46 @@
 		c.logger.Warn().Int64("offset", e.Offset()).Err(err).Msg("an invalid configuration was ignored")
 	}
 
+	if d == config.Adopted || d == config.Restated && v.Restates == c.ledger.InForce().Offset() {
+		c.carried = e.At()
+	}
+
 	if d == config.Adopted {
 		c.adopt()
 	}
 }
 
+// ReplayVersions replays the configuration stream up to an offset; 0 means to its end.
+func ReplayVersions(ctx context.Context, l Log, c VersionCodec, until int64) (*config.Ledger, error) {
+	var g config.Ledger
+
+	for from := int64(1); ; {
+		p, err := l.Read(ctx, ConfigStream, from, 0)
+		if errors.Is(err, stream.ErrDropped) && p.Oldest() > from {
+			from = p.Oldest()
+			g.Restart(from)
+
+			continue
+		}
+
+		if err != nil {
+			return nil, err
+		}
+
+		for _, e := range p.Entries() {
+			from = e.Offset() + 1
+
+			if v, err := c.DecodeVersion(e.Data()); err == nil && (until == 0 || e.Offset() <= until) {
+				_, _ = g.Apply(e.Offset(), v)
+			}
+		}
+
+		if from >= p.Next() || until > 0 && from > until {
+			return &g, nil
+		}
+	}
+}
+
 // adopt makes the version in force visible to the filters.
 func (c *Config) adopt() {
 	f := c.ledger.InForce()
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -140,8 +140,9 @@
 // carry appends the records of a submission.
 func (j *Jobs) carry(ctx context.Context, p int, s JobSpec, v filter.Service) error {
 	d := j.settings.InForce().Document().Batch
+	digest := s.Digest()
 	r := []journal.Record{{Open: &job.Open{
-		Job: s.ID(), Account: s.account, Key: s.key, Digest: s.Digest(), Service: s.service, Path: s.path,
+		Job: s.ID(), Account: s.account, Key: s.key, Digest: digest, Service: s.service, Path: s.path,
 		Idempotent: v.Idempotent(), Items: len(s.items), ShardItems: d.ShardItems, MaxAttempts: d.MaxAttempts,
 		Priority: s.priority, DeadlineMS: s.deadline.UnixMilli(), RetainMS: d.Retain.Value().Milliseconds(),
 	}}}
@@ -153,7 +154,7 @@
 			n++
 		}
 
-		r = append(r, journal.Record{Items: &job.Items{Job: s.ID(), First: first, Items: s.items[first : first+n]}})
+		r = append(r, journal.Record{Items: &job.Items{Job: s.ID(), Digest: digest, First: first, Items: s.items[first : first+n]}})
 		first += n
 
 		if first < len(s.items) {
@@ -165,7 +166,7 @@
 		}
 	}
 
-	return j.store.Submit(ctx, p, append(r, journal.Record{Submit: &job.Submit{Job: s.ID()}})...)
+	return j.store.Submit(ctx, p, append(r, journal.Record{Submit: &job.Submit{Job: s.ID(), Digest: digest}})...)
 }
 
 // View calls f with an account's job, after replaying what was recorded before the call.
--- a/daemon/adapt.go
+++ b/daemon/adapt.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 
+	"github.com/agategap/agategap/config"
 	"github.com/agategap/agategap/controller"
 	"github.com/agategap/agategap/journal"
 	"github.com/agategap/agategap/platform"
+	"github.com/agategap/agategap/shard"
 	"github.com/agategap/agategap/store"
+	"github.com/agategap/agategap/wire"
 )
 
 // machines gives the platform's list to the controllers.
@@ -72,3 +75,33 @@
 func (r recorder) Enqueue(k journal.Key, v ...journal.Record) {
 	r.store.Enqueue(r.store.Partition(k.String()), v...)
 }
+
+// republisher appends the configuration again. The first entry VM by rendezvous hashing does it; copies by two VMs
+// whose lists differ have no effect.
+type republisher struct {
+	client  *platform.Client
+	targets *controller.Targets
+	vm      string
+}
+
+// Elected reports whether this VM is the first one on the list that it knows.
+func (r republisher) Elected() bool {
+	n := []string{r.vm}
+	for _, p := range r.targets.Peers() {
+		n = append(n, p.VM())
+	}
+
+	return shard.First(controller.ConfigStream, n) == r.vm
+}
+
+// Republish appends v.
+func (r republisher) Republish(ctx context.Context, v config.Version) error {
+	b, err := (wire.Versions{}).EncodeVersion(v)
+	if err != nil {
+		return err
+	}
+
+	_, err = r.client.Append(ctx, controller.ConfigStream, b)
+
+	return err
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -51,6 +51,8 @@
 	// appendInterval is the shortest time between two appends of one partition. At 16 partitions it allows 160
 	// appends a second for one daemon that writes them all, about half of the log's rate.
 	appendInterval = 100 * time.Millisecond
+	// appendBurst lets a quiet partition append a few groups without delay.
+	appendBurst = 4
 	// headerTimeout bounds slow callers before the body.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
@@ -95,12 +97,16 @@
 	d.metrics = newMetrics()
 	k := peer.NewKeys(d.settings.PeerKeys)
 	d.server, d.client = peer.NewServer(k), peer.NewClient(k)
-	d.store = store.New(p, wire.Groups{}, store.NewOptions(d.holder, partitions, appender.NewLimits(0, 0, appendInterval), time.Now))
+	l := appender.NewLimits(0, 0, appendInterval).WithBurst(appendBurst)
+	o := store.NewOptions(d.holder, partitions, l, time.Now).WithSnapshots(wire.Parts{}, d.settings.LogRetention.Value())
+	d.store = store.New(p, wire.Groups{}, o)
 	d.config = controller.NewConfig(p, wire.Versions{}, d.logger)
 
 	pool := balance.New(balance.LeastLoaded{}, mrand.New(mrand.NewPCG(uint64(time.Now().UnixNano()), 0))) //nolint:gosec // load balancing
 	d.targets = controller.NewTargets(w, pool, d.settings.FailureDomain)
 
+	d.config.SetRepublisher(republisher{client: p, targets: d.targets, vm: d.settings.VM}, d.settings.LogRetention.Value(), time.Now)
+
 	c := target.New()
 	r := recorder{store: d.store}
 	parts := filter.NewParts(d.config, r, pool, time.Now, d.holder, recordWait)
@@ -194,6 +200,11 @@
 
 			return map[string]any{"version": f.Offset(), "author": f.Version().Author, "based_on": f.Version().BaseOn}
 		}),
-		"store": operator.DumpFunc(func() any { return map[string]any{"followed": d.store.Followed()} }),
+		"store": operator.DumpFunc(func() any {
+			return map[string]any{
+				"followed": d.store.Followed(), "stalled": d.store.Stalled(), "snapshots": d.store.Snapshots(),
+				"dropped": d.store.Dropped(), "rejected": d.store.Rejected(),
+			}
+		}),
 	}
 }
--- a/internal/cmd/cmd_publish.go
+++ b/internal/cmd/cmd_publish.go
@@ -85,24 +85,10 @@
 
 // replayConfig replays the configuration stream up to an offset; 0 means to its end.
 func replayConfig(ctx context.Context, c *platform.Client, until int64) (*config.Ledger, error) {
-	var l config.Ledger
-
-	for from := int64(1); ; {
-		p, err := c.Read(ctx, controller.ConfigStream, from, 0)
-		if err != nil {
-			return nil, outcome.New(outcome.LogUnavailable, outcome.Unknown, "the log is not available").WithCause(err)
-		}
-
-		for _, e := range p.Entries() {
-			if v, err := (wire.Versions{}).DecodeVersion(e.Data()); err == nil && (until == 0 || e.Offset() <= until) {
-				_, _ = l.Apply(e.Offset(), v)
-			}
-
-			from = e.Offset() + 1
-		}
-
-		if from >= p.Next() || until > 0 && from > until {
-			return &l, nil
-		}
+	l, err := controller.ReplayVersions(ctx, c, wire.Versions{}, until)
+	if err != nil {
+		return nil, outcome.New(outcome.LogUnavailable, outcome.Unknown, "the log is not available").WithCause(err)
 	}
+
+	return l, nil
 }
--- /dev/null
+++ b/job/image.go
@@ -0,0 +1,108 @@
+package job
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/RoaringBitmap/roaring/v2"
+)
+
+// Image returns the job's state without its items and results.
+func (j *Job) Image() (Image, error) {
+	m := Image{Open: j.open, State: j.state, OpenedMS: milliseconds(j.openedAt), EndedMS: milliseconds(j.endedAt)}
+
+	for _, b := range []struct {
+		from *roaring.Bitmap
+		to   *[]byte
+	}{{j.carried, &m.Carried}, {j.started, &m.Started}, {j.ended, &m.Ended}} {
+		v, err := b.from.ToBytes()
+		if err != nil {
+			return Image{}, fmt.Errorf("job %s: %w", j.ID(), err)
+		}
+
+		*b.to = v
+	}
+
+	for _, g := range j.leases {
+		m.Leases = append(m.Leases, LeaseImage{Lease: g.record, Offset: g.offset, Renewals: g.renewals})
+	}
+
+	slices.SortFunc(m.Leases, func(a, b LeaseImage) int { return cmp.Compare(a.Lease.Shard, b.Lease.Shard) })
+
+	return m, nil
+}
+
+// Stored returns a copy of the job's items. Items that ended have no body.
+func (j *Job) Stored() []Item { return slices.Clone(j.items) }
+
+// Results returns the results of ended items in order of their index.
+func (j *Job) Results() []Result {
+	l := make([]Result, 0, len(j.results))
+	for _, v := range j.results {
+		l = append(l, v)
+	}
+
+	slices.SortFunc(l, func(a, b Result) int { return cmp.Compare(a.Index, b.Index) })
+
+	return l
+}
+
+// Restore returns the job of an image, without its items and results.
+func Restore(m Image) (*Job, error) {
+	j := NewAt(m.Open, fromMilliseconds(m.OpenedMS))
+	j.state, j.endedAt = m.State, fromMilliseconds(m.EndedMS)
+
+	if m.State > Cancelled {
+		return nil, fmt.Errorf("job %s: unknown state %d", m.Open.Job, m.State)
+	}
+
+	for _, b := range []struct {
+		to   *roaring.Bitmap
+		from []byte
+	}{{j.carried, m.Carried}, {j.started, m.Started}, {j.ended, m.Ended}} {
+		if err := b.to.UnmarshalBinary(b.from); err != nil {
+			return nil, fmt.Errorf("job %s: %w", m.Open.Job, err)
+		}
+	}
+
+	for _, l := range m.Leases {
+		j.leases[l.Lease.Shard] = Grant{record: l.Lease, offset: l.Offset, renewals: l.Renewals}
+	}
+
+	return j, nil
+}
+
+// RestoreItems stores items of a snapshot from index first on.
+func (j *Job) RestoreItems(first int, items []Item) {
+	if first >= 0 && first <= len(j.items)-len(items) {
+		copy(j.items[first:], items)
+	}
+}
+
+// RestoreResults stores results of a snapshot.
+func (j *Job) RestoreResults(l []Result) {
+	for _, v := range l {
+		if _, ok := j.results[v.Index]; !ok && v.Effect >= Done && v.Effect <= Unknown {
+			j.results[v.Index] = v
+			j.counts[v.Effect]++
+		}
+	}
+}
+
+func milliseconds(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+
+	return t.UnixMilli()
+}
+
+func fromMilliseconds(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+
+	return time.UnixMilli(ms)
+}
--- a/job/job.go
+++ b/job/job.go
@@ -3,6 +3,7 @@
 package job
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -39,13 +40,16 @@
 	results map[uint32]Result
 	counts  [Unknown + 1]int
 	leases  map[int]Grant
-	endedAt time.Time
+
+	openedAt time.Time
+	endedAt  time.Time
 }
 
 // Grant is the lease in force on a shard.
 type Grant struct {
-	record Lease
-	offset int64
+	record   Lease
+	offset   int64
+	renewals int
 }
 
 // Offset returns the lease's offset, which is its fencing token.
@@ -57,16 +61,25 @@
 // Holder returns the daemon that runs the shard.
 func (g Grant) Holder() string { return g.record.Holder }
 
+// Renewals returns the number of progress records that renewed the lease. An observer that sees it change starts
+// the lease's duration again.
+func (g Grant) Renewals() int { return g.renewals }
+
 // Duration returns the time without renewal after which the lease may be replaced.
 func (g Grant) Duration() time.Duration {
 	return time.Duration(g.record.DurationMS) * time.Millisecond
 }
 
-// New returns the job that o opens.
-func New(o Open) *Job {
+// New returns the job that o opens, with no time of opening.
+func New(o Open) *Job { return NewAt(o, time.Time{}) }
+
+// NewAt returns the job that o opens at the log's time at.
+func NewAt(o Open, at time.Time) *Job {
 	o.ShardItems = max(1, o.ShardItems)
 
 	return &Job{
+		openedAt: at,
+
 		open:    o,
 		items:   make([]Item, o.Items),
 		carried: roaring.New(),
@@ -163,14 +176,22 @@
 // EndedAt returns the log's time at which the job finished or was cancelled.
 func (j *Job) EndedAt() time.Time { return j.endedAt }
 
-// Expired reports whether the results' retention is over at the log's time now.
+// openingBound is the time after which a job whose items were never all stored is forgotten. A submission takes
+// minutes at most; without a bound an abandoned one would stay in memory and in every snapshot.
+const openingBound = time.Hour
+
+// Expired reports whether the results' retention is over at the log's time now, or the job was never accepted.
 func (j *Job) Expired(now time.Time) bool {
+	if j.state == Opening {
+		return !j.openedAt.IsZero() && now.Sub(j.openedAt) > openingBound
+	}
+
 	return !j.endedAt.IsZero() && now.Sub(j.endedAt) > time.Duration(j.open.RetainMS)*time.Millisecond
 }
 
 // Carry stores items that are not stored yet. Repeats have no effect.
 func (j *Job) Carry(r Items) {
-	if j.state != Opening || r.First < 0 || r.First+len(r.Items) > j.open.Items {
+	if j.state != Opening || r.Digest != j.open.Digest || r.First < 0 || r.First > j.open.Items-len(r.Items) {
 		return
 	}
 
@@ -185,6 +206,11 @@
 // Complete reports whether all items are stored.
 func (j *Job) Complete() bool { return int(j.carried.GetCardinality()) == j.open.Items } //nolint:gosec // at most Items
 
+// Accept accepts the job like Submit, if r is of the submission that opened it.
+func (j *Job) Accept(r Submit, at time.Time) bool {
+	return r.Digest == j.open.Digest && j.Submit(at)
+}
+
 // Submit accepts the job when all items are stored, and reports whether it did.
 func (j *Job) Submit(at time.Time) bool {
 	if j.state != Opening || !j.Complete() {
@@ -219,6 +245,9 @@
 		return false
 	}
 
+	first, end := j.Bounds(r.Shard)
+	b.RemoveRange(0, uint64(first))                      //nolint:gosec // an item index
+	b.RemoveRange(uint64(end), uint64(math.MaxUint32)+1) //nolint:gosec // an item index
 	j.started.Or(b)
 
 	return true
@@ -231,6 +260,10 @@
 		return 0
 	}
 
+	g := j.leases[r.Shard]
+	g.renewals++
+	j.leases[r.Shard] = g
+
 	n := 0
 	first, end := j.Bounds(r.Shard)
 
@@ -242,6 +275,7 @@
 
 		j.results[v.Index] = v
 		j.counts[v.Effect]++
+		j.items[i].Body = nil
 		n++
 	}
 
@@ -258,6 +292,7 @@
 
 	j.state = Cancelled
 	j.endedAt = at
+	j.dropBodies()
 
 	return true
 }
@@ -306,6 +341,10 @@
 	return b.ToBytes()
 }
 
+// Holds reports whether the lease at an offset is in force on shard s of a running job. A holder asks it after its
+// own start record was replayed: a start record of a lease that is not in force has no effect.
+func (j *Job) Holds(s int, lease int64) bool { return j.holds(s, lease) }
+
 func (j *Job) holds(s int, lease int64) bool {
 	g, ok := j.leases[s]
 
@@ -316,5 +355,13 @@
 	if j.state == Running && j.Pending() == 0 {
 		j.state = Finished
 		j.endedAt = at
+		j.dropBodies()
+	}
+}
+
+// dropBodies frees the request bodies of a job that runs no more items. Results and custom identifiers stay.
+func (j *Job) dropBodies() {
+	for i := range j.items {
+		j.items[i].Body = nil
 	}
 }
--- a/job/record.go
+++ b/job/record.go
@@ -25,16 +25,20 @@
 	Body     []byte `msgpack:"body"`      // request body
 }
 
-// Items carries a run of items.
+// Items carries a run of items. It counts only for the submission that opened the job, so that two submissions
+// under one key cannot mix their items.
 type Items struct {
-	Job   string `msgpack:"job"`
-	First int    `msgpack:"first"` // index of the first item, from 0
-	Items []Item `msgpack:"items"`
+	Job    string `msgpack:"job"`
+	Digest string `msgpack:"digest"` // digest of the submission, as in Open
+	First  int    `msgpack:"first"`  // index of the first item, from 0
+	Items  []Item `msgpack:"items"`
 }
 
-// Submit accepts a job. It counts only when all items were carried before it.
+// Submit accepts a job. It counts only when all items were carried before it, and only for the submission that
+// opened the job.
 type Submit struct {
-	Job string `msgpack:"job"`
+	Job    string `msgpack:"job"`
+	Digest string `msgpack:"digest"` // digest of the submission, as in Open
 }
 
 // Lease grants a shard of items to a failure domain. The offset of the record is its fencing token.
@@ -112,3 +116,28 @@
 	Priority   *int   `msgpack:"priority"`
 	DeadlineMS *int64 `msgpack:"deadline_ms"`
 }
+
+// Image is the state of a job in a snapshot, without its items and results.
+type Image struct {
+	Open     Open         `msgpack:"open"`
+	State    State        `msgpack:"state"`
+	OpenedMS int64        `msgpack:"opened_ms"` // log's time of the open record, Unix milliseconds
+	EndedMS  int64        `msgpack:"ended_ms"`  // log's time of the end, Unix milliseconds; 0 before it
+	Carried  []byte       `msgpack:"carried"`   // serialized roaring bitmaps of item indexes
+	Started  []byte       `msgpack:"started"`
+	Ended    []byte       `msgpack:"ended"`
+	Leases   []LeaseImage `msgpack:"leases"`
+}
+
+// LeaseImage is a lease in force in a snapshot.
+type LeaseImage struct {
+	Lease    Lease `msgpack:"lease"`
+	Offset   int64 `msgpack:"offset"`
+	Renewals int   `msgpack:"renewals"`
+}
+
+// Results carries results of a job in a snapshot.
+type Results struct {
+	Job     string   `msgpack:"job"`
+	Results []Result `msgpack:"results"`
+}
--- a/journal/apply.go
+++ b/journal/apply.go
@@ -1,6 +1,10 @@
 package journal
 
-import "github.com/agategap/agategap/job"
+import (
+	"time"
+
+	"github.com/agategap/agategap/job"
+)
 
 // ChangeKind says what a record changed.
 type ChangeKind uint8
@@ -76,37 +80,56 @@
 		return nil
 	}
 
+	w.replaced = w.replaced || w.claim.ID != ""
 	w.claim, w.claimedAt = r, p.at
 
 	return []Change{{kind: WorkClaimed, key: k}}
 }
 
+// release gives a claim back. Work that any daemon may run stays accepted, and so does work that the holder of a
+// replaced claim may have sent to a target.
 func (p *Partition) release(r Release) []Change {
 	k := NewKey(r.Account, r.Key)
 
 	w, ok := p.work[k]
-	if !ok || w.ended || w.claim.ID != r.Claim {
+	if !ok || w.ended || r.Claim == "" || w.claim.ID != r.Claim {
 		return nil
 	}
 
-	delete(p.work, k)
+	if w.accept.Async || w.replaced {
+		w.claim, w.claimedAt = Claim{}, time.Time{}
+	} else {
+		delete(p.work, k)
+	}
 
 	return []Change{{kind: WorkReleased, key: k}}
 }
 
+// complete ends work. Idempotent work takes the first completion of any claim, also of one that was replaced.
 func (p *Partition) complete(r Complete) []Change {
 	k := NewKey(r.Account, r.Key)
 
 	w, ok := p.work[k]
-	if !ok || w.ended || w.claim.ID == "" || w.claim.ID != r.Claim && !w.accept.Idempotent {
+	if !ok || w.ended || r.Effect < Done || r.Effect > Unknown {
+		return nil
+	}
+
+	if held := w.claim.ID != "" || w.replaced; !held || w.claim.ID != r.Claim && !w.accept.Idempotent {
 		return nil
 	}
 
-	w.result, w.ended, w.endedAt = r, true, p.at
+	w.end(r, p.at)
+	p.due.add(k, w.expiry())
 
 	return []Change{{kind: WorkEnded, key: k}}
 }
 
+// end puts a completion in force. The request body is not needed any more.
+func (w *Work) end(r Complete, at time.Time) {
+	w.result, w.ended, w.endedAt = r, true, at
+	w.accept.Body = nil
+}
+
 func (p *Partition) applyJob(r Record) []Change {
 	switch {
 	case r.Open != nil:
@@ -122,7 +145,7 @@
 	case r.Submit != nil:
 		j := p.jobs[r.Submit.Job]
 
-		return changed(j != nil && j.Submit(p.at), Change{kind: JobAccepted, job: r.Submit.Job})
+		return changed(j != nil && j.Accept(*r.Submit, p.at), Change{kind: JobAccepted, job: r.Submit.Job})
 	case r.Lease != nil:
 		j := p.jobs[r.Lease.Job]
 
@@ -156,7 +179,7 @@
 		return
 	}
 
-	p.jobs[o.Job] = job.New(o)
+	p.jobs[o.Job] = job.NewAt(o, p.at)
 }
 
 // MaxItems bounds the items of one job.
--- a/journal/partition.go
+++ b/journal/partition.go
@@ -3,6 +3,7 @@
 package journal
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -53,6 +54,7 @@
 	accept    Accept
 	claim     Claim
 	claimedAt time.Time
+	replaced  bool // a claim of this work was replaced, so a target may have received it
 	result    Complete
 	ended     bool
 	endedAt   time.Time
@@ -76,8 +78,10 @@
 // Result returns the completion in force; its zero value before the end.
 func (w Work) Result() Complete { return w.result }
 
-func (w Work) expired(now time.Time) bool {
-	return w.ended && now.Sub(w.endedAt) > time.Duration(w.accept.RetainMS)*time.Millisecond
+func (w Work) expired(now time.Time) bool { return w.ended && now.After(w.expiry()) }
+
+func (w Work) expiry() time.Time {
+	return w.endedAt.Add(time.Duration(w.accept.RetainMS) * time.Millisecond)
 }
 
 // Partition is the replayed state of one partition. It is safe for concurrent use; it is a shard of the
@@ -88,9 +92,21 @@
 	at      time.Time
 	work    map[Key]*Work
 	jobs    map[string]*job.Job
-	writers map[string]uint64
+	writers map[string]writer
+	evicted int64
+	due     dueList
 }
 
+// writer is the last group that replay took from a writer.
+type writer struct {
+	number uint64
+	offset int64
+}
+
+// maxWriters bounds the writers whose last number is kept. A daemon is one writer per run; at 260 restarts a day
+// among 340 daemons the bound is reached after more than two days.
+const maxWriters = 1024
+
 // Apply replays one entry and returns what changed, in order. An entry at or below the last offset, or a
 // group whose number its writer has already reached or passed, has no effect.
 func (p *Partition) Apply(e Entry) []Change {
@@ -104,16 +120,16 @@
 	p.init()
 	p.offset = e.offset
 
-	if e.at.After(p.at) {
-		p.at = e.at
+	// The log gives times in milliseconds, and so do snapshots.
+	if at := time.UnixMilli(e.at.UnixMilli()); at.After(p.at) {
+		p.at = at
+		p.expireDue()
 	}
 
-	if e.group.Number <= p.writers[e.group.Writer] {
+	if !p.admit(e) {
 		return nil
 	}
 
-	p.writers[e.group.Writer] = e.group.Number
-
 	var c []Change
 	for _, r := range e.group.Records {
 		c = append(c, p.apply(r)...)
@@ -122,6 +138,40 @@
 	return c
 }
 
+// admit reports whether a group counts, and notes its number. A second copy does not count. Nor does a group of an
+// unknown writer that was formed before the last writer was forgotten, as it may be a second copy.
+func (p *Partition) admit(e Entry) bool {
+	w, known := p.writers[e.group.Writer]
+	if e.group.Number <= w.number || !known && e.group.Base < p.evicted {
+		return false
+	}
+
+	p.writers[e.group.Writer] = writer{number: e.group.Number, offset: e.offset}
+
+	if len(p.writers) > maxWriters {
+		p.forgetWriters()
+	}
+
+	return true
+}
+
+// forgetWriters forgets the quarter of the writers that have been idle longest.
+func (p *Partition) forgetWriters() {
+	l := make([]int64, 0, len(p.writers))
+	for _, w := range p.writers {
+		l = append(l, w.offset)
+	}
+
+	slices.Sort(l)
+	p.evicted = l[len(l)/4]
+
+	for n, w := range p.writers {
+		if w.offset <= p.evicted {
+			delete(p.writers, n)
+		}
+	}
+}
+
 // Skip advances the partition past an entry that cannot be decoded, without effect.
 func (p *Partition) Skip(offset int64) {
 	p.mu.Lock()
@@ -143,16 +193,24 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	return p.writers[writer]
+	return p.writers[writer].number
 }
 
-// Lookup returns the work recorded under a key.
+// At returns the log's time of the last replayed entry.
+func (p *Partition) At() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.at
+}
+
+// Lookup returns the work recorded under a key, until its retention is over.
 func (p *Partition) Lookup(k Key) (Work, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
 	w, ok := p.work[k]
-	if !ok {
+	if !ok || w.expired(p.at) {
 		return Work{}, false
 	}
 
@@ -182,11 +240,13 @@
 	defer p.mu.Unlock()
 
 	j, ok := p.jobs[id]
-	if ok {
-		f(j)
+	if !ok || j.Expired(p.at) {
+		return false
 	}
 
-	return ok
+	f(j)
+
+	return true
 }
 
 // Jobs calls f with every job while the partition is locked. f must not keep the job.
@@ -195,38 +255,16 @@
 	defer p.mu.Unlock()
 
 	for _, j := range p.jobs {
-		f(j)
-	}
-}
-
-// Expire drops ended work and jobs whose retention is over at the log's time, and returns their number.
-func (p *Partition) Expire() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-
-	n := 0
-
-	for k, w := range p.work {
-		if w.expired(p.at) {
-			delete(p.work, k)
-			n++
+		if !j.Expired(p.at) {
+			f(j)
 		}
 	}
-
-	for id, j := range p.jobs {
-		if j.Expired(p.at) {
-			delete(p.jobs, id)
-			n++
-		}
-	}
-
-	return n
 }
 
 func (p *Partition) init() {
 	if p.work == nil {
 		p.work = map[Key]*Work{}
 		p.jobs = map[string]*job.Job{}
-		p.writers = map[string]uint64{}
+		p.writers = map[string]writer{}
 	}
 }
--- a/journal/record.go
+++ b/journal/record.go
@@ -30,7 +30,7 @@
 }
 
 // Release gives a claim back after nothing was sent to a target. It ends the work as not run, so that the
-// key may be used again.
+// key may be used again. Asynchronous work and work whose earlier claim was replaced stay accepted.
 type Release struct {
 	Account string `msgpack:"account"`
 	Key     string `msgpack:"key"`
@@ -84,5 +84,40 @@
 type Group struct {
 	Writer  string   `msgpack:"writer"`  // VM and incarnation
 	Number  uint64   `msgpack:"number"`  // grows by one per writer and partition, from 1
+	Base    int64    `msgpack:"base"`    // offset that the writer had replayed when it formed the group
 	Records []Record `msgpack:"records"` // in order
 }
+
+// Section is one piece of a partition's state in a snapshot; exactly one field is set.
+type Section struct {
+	Head    *Head        `msgpack:"head,omitempty"`
+	Writers []Writer     `msgpack:"writers,omitempty"`
+	Work    *WorkImage   `msgpack:"work,omitempty"`
+	Job     *job.Image   `msgpack:"job,omitempty"`
+	Items   *job.Items   `msgpack:"items,omitempty"`
+	Results *job.Results `msgpack:"results,omitempty"`
+}
+
+// Head is the first section of a partition's state.
+type Head struct {
+	Offset  int64 `msgpack:"offset"`  // offset of the last replayed entry
+	AtMS    int64 `msgpack:"at_ms"`   // log's time of that entry, Unix milliseconds
+	Evicted int64 `msgpack:"evicted"` // offset up to which writers were forgotten
+}
+
+// Writer is the last group number of a writer.
+type Writer struct {
+	Name   string `msgpack:"name"`
+	Number uint64 `msgpack:"number"`
+	Offset int64  `msgpack:"offset"` // offset of that group
+}
+
+// WorkImage is accepted work in a snapshot.
+type WorkImage struct {
+	Accept      Accept    `msgpack:"accept"`
+	Claim       Claim     `msgpack:"claim"`
+	ClaimedAtMS int64     `msgpack:"claimed_at_ms"`
+	Replaced    bool      `msgpack:"replaced"`
+	Result      *Complete `msgpack:"result,omitempty"`
+	EndedAtMS   int64     `msgpack:"ended_at_ms"`
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -25,6 +25,8 @@
 
 	DrainWait tomlfile.Duration `toml:"drain_wait"` // time between not ready and closing the listener
 	DrainMost tomlfile.Duration `toml:"drain_most"` // bound on the whole shutdown
+
+	LogRetention tomlfile.Duration `toml:"log_retention"` // how long the log keeps a record; snapshots are renewed well before
 }
 
 // MinKeyBytes is the least length of a peer key.
@@ -58,6 +60,10 @@
 		d.DrainWait = tomlfile.NewDuration(defaultDrainWait)
 	}
 
+	if d.LogRetention == (tomlfile.Duration{}) {
+		d.LogRetention = tomlfile.NewDuration(defaultLogRetention)
+	}
+
 	if d.DrainMost == (tomlfile.Duration{}) {
 		d.DrainMost = tomlfile.NewDuration(defaultDrainMost)
 	}
@@ -97,6 +103,7 @@
 	oneOf(x, l, "log_level", d.LogLevel, "debug", "info", "warn", "error")
 	oneOf(x, l, "policy", d.Policy, "round_robin", "least_loaded", "power_of_two", "owner")
 	d.DrainWait.Check(x, l, "drain_wait", 0, mostDrain)
+	d.LogRetention.Check(x, l, "log_retention", leastLogRetention, mostLogRetention)
 	d.DrainMost.Check(x, l, "drain_most", 0, mostDrain)
 }
 
--- a/store/cell.go
+++ b/store/cell.go
@@ -14,25 +14,34 @@
 
 // cell is one shard of the store: a partition with its append queue.
 type cell struct {
-	name string
-	part journal.Partition
+	index    int
+	name     string
+	snapshot string
+	part     journal.Partition
+	turn     chan struct{} // held while the cell opens or closes
+	loops    sync.WaitGroup
 
 	mu      sync.Mutex
 	opened  bool
+	users   int
+	stop    context.CancelFunc
 	queue   *appender.Queue
-	waiting map[appender.Ticket]chan int64
+	waiting map[appender.Ticket]chan appender.Result
 	changed chan struct{}
 	wake    chan struct{}
+	stalled bool      // retention dropped records that no snapshot covers
+	oldest  time.Time // log's time of the first entry replayed without a snapshot
+	counter int       // snapshots written
 }
 
-func newCell(name string, q *appender.Queue) *cell {
-	return &cell{
-		name:    name,
-		queue:   q,
-		waiting: map[appender.Ticket]chan int64{},
-		changed: make(chan struct{}),
-		wake:    make(chan struct{}, 1),
-	}
+// user is a cell that stays open until release.
+type user struct{ *cell }
+
+func (u user) release() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+
+	u.users--
 }
 
 func (c *cell) isOpen() bool {
@@ -42,6 +51,88 @@
 	return c.opened
 }
 
+// close stops the loops of an open cell that nobody uses, and reports whether it did.
+func (c *cell) close() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if !c.opened || c.users > 0 || c.queue.Pending() > 0 {
+		return false
+	}
+
+	c.opened, c.stalled, c.oldest = false, false, time.Time{}
+	c.stop()
+
+	return true
+}
+
+// enter counts a user of an open cell.
+func (c *cell) enter() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.opened {
+		c.users++
+	}
+
+	return c.opened
+}
+
+func (c *cell) empty() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.queue.Pending() == 0
+}
+
+// open returns the cell of a partition that is followed from now on.
+func (s *Store) open(p int) *cell {
+	c := s.cells[p]
+	if c.isOpen() {
+		return c
+	}
+
+	c.turn <- struct{}{}
+	defer func() { <-c.turn }()
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if !c.opened {
+		ctx, stop := context.WithCancel(s.ctx)
+		c.opened, c.stop = true, stop
+		ready := make(chan struct{})
+
+		s.start(c, func() { s.follow(ctx, c, ready) })
+		s.start(c, func() { s.append(ctx, c, ready) })
+
+		if s.options.policy.Interval() > 0 {
+			s.start(c, func() { s.snapshots(ctx, c) })
+		}
+	}
+
+	return c
+}
+
+// start runs a loop that both the cell and the store wait for.
+func (s *Store) start(c *cell, f func()) {
+	c.loops.Add(1)
+	s.wg.Go(func() {
+		defer c.loops.Done()
+
+		f()
+	})
+}
+
+// use returns the cell of a partition, which cannot be closed before release.
+func (s *Store) use(p int) user {
+	for {
+		if c := s.open(p); c.enter() {
+			return user{c}
+		}
+	}
+}
+
 func (c *cell) waitChange() <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -49,26 +140,43 @@
 	return c.changed
 }
 
-// add queues records; the channel gets the offset of their group.
-func (c *cell) add(weight int, r []journal.Record) (appender.Ticket, <-chan int64) {
+// add queues records if they fit, and returns the channel that gets the end of their ticket.
+func (c *cell) add(r []journal.Record, room func(q *appender.Queue, weight int) bool) (appender.Ticket, <-chan appender.Result, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	t := c.queue.Add(weight, r...)
-	done := make(chan int64, 1)
+	w := weigh(r)
+	if !room(c.queue, w) {
+		return 0, nil, false
+	}
+
+	t := c.queue.Add(w, r...)
+	done := make(chan appender.Result, 1)
 	c.waiting[t] = done
 	c.signal()
 
-	return t, done
+	return t, done, true
 }
 
-func (c *cell) withdraw(t appender.Ticket) appender.State {
+// giveUp withdraws a ticket, or abandons it, and returns its state.
+func (c *cell) giveUp(t appender.Ticket, abandon bool) appender.State {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	delete(c.waiting, t)
+	var s appender.State
+
+	if abandon {
+		s = c.queue.Abandon(t)
+		c.signal()
+	} else {
+		s = c.queue.Withdraw(t)
+	}
+
+	if s == appender.Withdrawn {
+		delete(c.waiting, t)
+	}
 
-	return c.queue.Withdraw(t)
+	return s
 }
 
 // signal wakes the append loop.
@@ -90,37 +198,42 @@
 		select {
 		case <-ch:
 		case <-ctx.Done():
-			return outcome.New(outcome.LogUnavailable, outcome.Unknown, "the record is in the log and could not be read back in time").
+			return outcome.New(outcome.LogUnavailable, outcome.Unknown, "the log could not be read up to its end in time").
 				WithRetryAfter(retryAfterOutage)
 		}
 	}
 }
 
-// end reports tickets as confirmed. The caller holds the lock.
+// end reports tickets to their submitters. The caller holds the lock.
 func (c *cell) end(r []appender.Result) {
 	for _, v := range r {
 		if ch, ok := c.waiting[v.Ticket()]; ok {
-			ch <- v.Offset()
+			ch <- v
 
 			delete(c.waiting, v.Ticket())
 		}
 	}
 }
 
-func (s *Store) open(p int) *cell {
-	c := s.cells[p]
+// notify wakes everyone who waits for a change. The caller holds the lock.
+func (c *cell) notify() {
+	c.signal()
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
 
+func (c *cell) setStalled(v bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	if !c.opened && s.ctx.Err() == nil {
-		c.opened = true
+	c.stalled = v
+}
 
-		s.wg.Go(func() { s.follow(c) })
-		s.wg.Go(func() { s.append(c) })
-	}
+func (c *cell) isStalled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 
-	return c
+	return c.stalled
 }
 
 const (
@@ -130,16 +243,52 @@
 	retryDelay = 100 * time.Millisecond
 )
 
-// follow replays the partition until the store stops.
-func (s *Store) follow(c *cell) {
-	for s.ctx.Err() == nil {
-		g, err := s.log.Read(s.ctx, c.name, c.part.Offset()+1, readWait)
+// follow replays the partition until ctx ends. It closes ready after the first read, so that nothing is appended
+// before it is known what this writer appended earlier.
+func (s *Store) follow(ctx context.Context, c *cell, ready chan<- struct{}) {
+	restart, first := true, true
+	delay := retryDelay
+
+	for ctx.Err() == nil {
+		if restart {
+			if err := s.restore(ctx, c); err != nil {
+				sleep(ctx, retryDelay)
+
+				continue
+			}
+
+			restart = false
+		}
+
+		from := c.part.Offset() + 1
+
+		g, err := s.log.Read(ctx, c.name, from, readWait)
+		if errors.Is(err, stream.ErrDropped) || err == nil && g.Oldest() > from {
+			restart = true
+
+			c.setStalled(true)
+			sleep(ctx, delay)
+			delay = min(2*delay, readWait) //nolint:mnd // doubles
+
+			continue
+		}
+
 		if err != nil {
-			s.sleep(retryDelay)
+			sleep(ctx, retryDelay)
 
 			continue
 		}
 
+		c.setStalled(false)
+
+		delay = retryDelay
+
+		if first {
+			first = false
+
+			close(ready)
+		}
+
 		for _, e := range g.Entries() {
 			s.replay(c, e)
 		}
@@ -157,21 +306,28 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	if g.Writer == s.options.writer {
-		c.end(c.queue.Seen(g.Number, e.Offset()))
-		c.signal()
+	if c.oldest.IsZero() {
+		c.oldest = e.At()
 	}
 
-	close(c.changed)
-	c.changed = make(chan struct{})
+	if err == nil && g.Writer == s.options.writer {
+		c.end(c.queue.Replayed(g.Number, e.Offset(), c.part.Number(g.Writer)))
+	}
+
+	c.notify()
 }
 
-// append sends the queue's groups until the store stops.
-func (s *Store) append(c *cell) {
-	for s.ctx.Err() == nil {
+// append sends the queue's groups until ctx ends.
+func (s *Store) append(ctx context.Context, c *cell, ready <-chan struct{}) {
+	select {
+	case <-ready:
+	case <-ctx.Done():
+	}
+
+	for ctx.Err() == nil {
 		g, ok, at := s.next(c)
 		if ok {
-			s.send(c, g)
+			s.send(ctx, c, g)
 
 			continue
 		}
@@ -184,20 +340,23 @@
 		select {
 		case <-c.wake:
 		case <-t:
-		case <-s.ctx.Done():
+		case <-ctx.Done():
 		}
 	}
 }
 
 func (s *Store) next(c *cell) (journal.Group, bool, time.Time) {
+	base := c.part.Offset()
+	known := c.part.Number(s.options.writer) > 0
+
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	return c.queue.Next(s.options.clock())
+	return c.queue.Next(s.options.clock(), base, known)
 }
 
-func (s *Store) send(c *cell, g journal.Group) {
-	o, err := s.sendGroup(c, g)
+func (s *Store) send(ctx context.Context, c *cell, g journal.Group) {
+	o, err := s.sendGroup(ctx, c, g)
 
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -206,26 +365,42 @@
 
 	switch {
 	case err == nil:
-		c.end(c.queue.Confirmed(o))
+		c.queue.Confirmed(o)
+	case errors.Is(err, stream.ErrTooLarge):
+		r := c.queue.Rejected(now)
+		s.rejected.Add(int64(len(r)))
+		c.end(r)
+		c.notify()
 	case errors.Is(err, stream.ErrRefused):
-		c.queue.Refused(now.Add(retryDelay))
+		c.queue.Refused(now)
 	default:
-		c.queue.Lost(now.Add(retryDelay))
+		c.queue.Lost(now)
 	}
 }
 
-func (s *Store) sendGroup(c *cell, g journal.Group) (int64, error) {
+func (s *Store) sendGroup(ctx context.Context, c *cell, g journal.Group) (int64, error) {
 	b, err := s.codec.Encode(g)
 	if err != nil {
-		return 0, err
+		return 0, errors.Join(stream.ErrTooLarge, err)
 	}
 
-	return s.log.Append(s.ctx, c.name, b)
+	return s.log.Append(ctx, c.name, b)
 }
 
-func (s *Store) sleep(d time.Duration) {
+func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
-	case <-s.ctx.Done():
+	case <-ctx.Done():
+	}
+}
+
+// absent returns the error for work that is not there. w was there at log time before, or is the zero value.
+func absent(w journal.Work, before, now time.Time) error {
+	a := w.Accept()
+	if a.Key != "" && now.Sub(before) <= time.Duration(a.RetainMS)*time.Millisecond {
+		return outcome.New(outcome.NotFound, outcome.NotRun, "the work was given back and has not run").
+			WithRetryAfter(retryAfterOutage)
 	}
+
+	return outcome.New(outcome.NotFound, outcome.Unknown, "no work is recorded under this key")
 }
--- a/store/store.go
+++ b/store/store.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/agategap/agategap/appender"
@@ -13,6 +15,7 @@
 	"github.com/agategap/agategap/journal"
 	"github.com/agategap/agategap/outcome"
 	"github.com/agategap/agategap/shard"
+	"github.com/agategap/agategap/snapshot"
 	"github.com/agategap/agategap/stream"
 )
 
@@ -36,23 +39,29 @@
 	partitions int
 	limits     appender.Limits
 	clock      func() time.Time
+	parts      PartCodec
+	policy     snapshot.Policy
+	writes     func(partition int) bool
 }
 
 // NewOptions returns options: the writer's identity, unique per process; the number of partitions, at least
 // 1; limits of the appends to each partition; and the clock.
 func NewOptions(writer string, partitions int, l appender.Limits, clock func() time.Time) Options {
-	return Options{writer: writer, partitions: partitions, limits: l, clock: clock}
+	return Options{writer: writer, partitions: partitions, limits: l, clock: clock, writes: func(int) bool { return true }}
 }
 
 // Store follows partitions of the journal.
 type Store struct {
-	log     Log
-	codec   Codec
-	options Options
-	cells   []*cell
-	ctx     context.Context //nolint:containedctx // the life of the followers, not of a call
-	stop    context.CancelFunc
-	wg      sync.WaitGroup
+	log      Log
+	codec    Codec
+	options  Options
+	cells    []*cell
+	ctx      context.Context //nolint:containedctx // the life of the followers, not of a call
+	stop     context.CancelFunc
+	wg       sync.WaitGroup
+	dropped  atomic.Int64
+	rejected atomic.Int64
+	written  atomic.Int64
 }
 
 // New returns a store. Run it as an actor with Wait and Stop.
@@ -61,7 +70,16 @@
 	s := &Store{log: l, codec: c, options: o, ctx: ctx, stop: stop}
 
 	for i := range o.partitions {
-		s.cells = append(s.cells, newCell(fmt.Sprintf("journal/%d", i), appender.New(o.writer, o.limits)))
+		s.cells = append(s.cells, &cell{
+			index:    i,
+			name:     fmt.Sprintf("journal/%d", i),
+			snapshot: fmt.Sprintf("snapshot/%d", i),
+			turn:     make(chan struct{}, 1),
+			queue:    appender.New(o.writer, o.limits),
+			waiting:  map[appender.Ticket]chan appender.Result{},
+			changed:  make(chan struct{}),
+			wake:     make(chan struct{}, 1),
+		})
 	}
 
 	return s
@@ -84,6 +102,24 @@
 // Open starts to follow a partition, if it is not followed yet.
 func (s *Store) Open(p int) { s.open(p) }
 
+// Close stops to follow a partition and frees its state, unless records are queued for it or a call waits for it. It
+// reports whether the partition is closed. Any later use follows it again.
+func (s *Store) Close(p int) bool {
+	c := s.cells[p]
+
+	c.turn <- struct{}{}
+	defer func() { <-c.turn }()
+
+	if !c.close() {
+		return !c.isOpen()
+	}
+
+	c.loops.Wait()
+	c.part.Reset()
+
+	return true
+}
+
 // Followed returns the partitions that are followed.
 func (s *Store) Followed() []int {
 	var f []int
@@ -104,37 +140,113 @@
 func (s *Store) Changed(p int) <-chan struct{} { return s.open(p).waitChange() }
 
 // Submit appends records to a partition as one unit, and returns once they are replayed here. When ctx ends
-// first, records that were never sent are withdrawn and the error has effect not_run; else it is unknown.
+// first, records of which no copy can be in the log are withdrawn and the error has effect not_run; else it is
+// unknown, and the records stay queued.
 func (s *Store) Submit(ctx context.Context, p int, r ...journal.Record) error {
-	c := s.open(p)
-	t, done := c.add(weigh(r), r)
+	return s.submit(ctx, 0, p, r)
+}
+
+// SubmitOrWithdraw is Submit for records that are of no use later. When ctx ends first they are given up, and it
+// waits at most for settle until it is certain whether they took effect.
+func (s *Store) SubmitOrWithdraw(ctx context.Context, settle time.Duration, p int, r ...journal.Record) error {
+	return s.submit(ctx, settle, p, r)
+}
+
+func (s *Store) submit(ctx context.Context, settle time.Duration, p int, r []journal.Record) error {
+	c := s.use(p)
+	defer c.release()
+
+	t, done, ok := c.add(r, (*appender.Queue).Room)
+	if !ok {
+		return outcome.New(outcome.Overloaded, outcome.NotRun, "too many records wait for the log").
+			WithRetryAfter(retryAfterOutage)
+	}
 
 	select {
-	case o := <-done:
-		return c.await(ctx, o)
+	case v := <-done:
+		return ended(v.State())
 	case <-ctx.Done():
 	}
 
-	if c.withdraw(t) == appender.Withdrawn {
+	if c.giveUp(t, settle > 0) == appender.Withdrawn {
+		return ended(appender.Withdrawn)
+	}
+
+	select {
+	case v := <-done:
+		return ended(v.State())
+	case <-time.After(settle):
+		return ended(appender.Unknown)
+	}
+}
+
+// ended returns the error for a ticket's last state.
+func ended(s appender.State) error {
+	switch s {
+	case appender.Confirmed:
+		return nil
+	case appender.Withdrawn:
 		return outcome.New(outcome.LogUnavailable, outcome.NotRun, "the request could not be recorded in time").
 			WithRetryAfter(retryAfterOutage)
+	case appender.Rejected:
+		return outcome.New(outcome.TooLarge, outcome.NotRun, "the log does not take a record of this size")
+	default:
+		return outcome.New(outcome.LogUnavailable, outcome.Unknown, "the log has not confirmed the record; look the result up by its key").
+			WithRetryAfter(retryAfterOutage)
+	}
+}
+
+// Enqueue queues records without waiting. They stay queued until the log takes them. They are dropped, and counted,
+// when twice the bound of the queue is reached; Offer reports that.
+func (s *Store) Enqueue(p int, r ...journal.Record) { s.Offer(p, r...) }
+
+// Offer queues records without waiting and reports whether there was room. Records that are not queued belong to
+// work that stays accepted, so that it is found to have no completion later.
+func (s *Store) Offer(p int, r ...journal.Record) bool {
+	c := s.use(p)
+	defer c.release()
+
+	_, _, ok := c.add(r, (*appender.Queue).Reserve)
+	if !ok {
+		s.dropped.Add(1)
 	}
 
-	return outcome.New(outcome.LogUnavailable, outcome.Unknown, "the log has not confirmed the record; look the result up by its key").
-		WithRetryAfter(retryAfterOutage)
+	return ok
 }
 
-// Enqueue queues records without waiting. They stay queued until the log takes them.
-func (s *Store) Enqueue(p int, r ...journal.Record) {
-	s.open(p).add(weigh(r), r)
+// Dropped returns the number of submissions by Enqueue and Offer for which there was no room.
+func (s *Store) Dropped() int64 { return s.dropped.Load() }
+
+// Rejected returns the number of submissions that the log can never take.
+func (s *Store) Rejected() int64 { return s.rejected.Load() }
+
+// Flush waits until nothing is queued.
+func (s *Store) Flush(ctx context.Context) error {
+	for _, c := range s.cells {
+		for {
+			ch := c.waitChange()
+			if c.empty() {
+				break
+			}
+
+			select {
+			case <-ch:
+			case <-ctx.Done():
+				return outcome.New(outcome.LogUnavailable, outcome.Unknown, "records still wait for the log")
+			}
+		}
+	}
+
+	return nil
 }
 
 // Sync waits until everything that the log held when it was called is replayed here.
 func (s *Store) Sync(ctx context.Context, p int) error {
-	c := s.open(p)
+	c := s.use(p)
+	defer c.release()
 
 	g, err := s.log.Read(ctx, c.name, c.part.Offset()+1, 0)
-	if err != nil {
+	if err != nil && !errors.Is(err, stream.ErrDropped) {
 		return outcome.New(outcome.LogUnavailable, outcome.Unknown, "the log is not available").
 			WithRetryAfter(retryAfterOutage).WithCause(err)
 	}
@@ -147,18 +259,32 @@
 	return s.open(s.Partition(k.String())).part.Lookup(k)
 }
 
-// Await waits until the work under a key has ended.
+// Await waits until the work under a key has ended. Work that was released meanwhile is NotFound with effect
+// not_run; work that is not there, or whose retention may have ended meanwhile, is NotFound with effect unknown.
 func (s *Store) Await(ctx context.Context, k journal.Key) (journal.Work, error) {
-	c := s.open(s.Partition(k.String()))
+	p := s.Partition(k.String())
+
+	c := s.use(p)
+	defer c.release()
+
+	w, ok := c.part.Lookup(k)
+	if !ok {
+		if err := s.Sync(ctx, p); err != nil {
+			return w, err
+		}
+	}
+
+	var seen time.Time
 
 	for {
-		ch := c.waitChange()
+		ch, at := c.waitChange(), c.part.At()
 
-		w, ok := c.part.Lookup(k)
+		n, ok := c.part.Lookup(k)
 		if !ok {
-			return w, outcome.New(outcome.NotFound, outcome.NotRun, "no work is recorded under this key")
+			return w, absent(w, seen, c.part.At())
 		}
 
+		w, seen = n, at
 		if w.Ended() {
 			return w, nil
 		}
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -3,12 +3,15 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 )
 
 var (
-	// ErrRefused means that the log did not take the append and never will.
+	// ErrRefused means that the log did not take the append. A later attempt may succeed.
 	ErrRefused = errors.New("the log refused the append")
+	// ErrTooLarge means that the log never takes an append of this size. It is an ErrRefused.
+	ErrTooLarge = fmt.Errorf("%w: it is too large", ErrRefused)
 	// ErrLost means that nothing is known of the append: it may be in the log.
 	ErrLost = errors.New("the log's answer to the append was lost")
 	// ErrDropped means that retention dropped the requested offset.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -11,6 +11,8 @@
 
 	"github.com/agategap/agategap/config"
 	"github.com/agategap/agategap/journal"
+	"github.com/agategap/agategap/snapshot"
+	"github.com/agategap/agategap/stream"
 )
 
 // MaxMessageBytes bounds a decoded message, so that a small compressed input cannot fill the memory.
@@ -59,6 +61,19 @@
 	return v, Unmarshal(b, &v)
 }
 
+// Parts encodes parts of snapshots. The zero value is ready to use.
+type Parts struct{}
+
+// EncodePart returns the bytes of a part.
+func (Parts) EncodePart(p snapshot.Part) ([]byte, error) { return Marshal(p) }
+
+// DecodePart returns the part in b.
+func (Parts) DecodePart(b []byte) (snapshot.Part, error) {
+	var p snapshot.Part
+
+	return p, Unmarshal(b, &p)
+}
+
 // Marshal returns v as msgpack behind a format byte, compressed when that pays.
 func Marshal(v any) ([]byte, error) {
 	b, err := msgpack.Marshal(v)
@@ -66,6 +81,11 @@
 		return nil, fmt.Errorf("encode: %w", err)
 	}
 
+	// Readers refuse a larger message, so it would be lost in the log.
+	if len(b) >= MaxMessageBytes {
+		return nil, fmt.Errorf("%w: %d bytes, the bound is %d", stream.ErrTooLarge, len(b), MaxMessageBytes)
+	}
+
 	if len(b) < compressFromBytes {
 		return append([]byte{formatPlain}, b...), nil
 	}
