--- /dev/null
+++ b/controller/ask.go
@@ -0,0 +1,131 @@
+package controller
+
+import (
+	"context"
+
+	"github.com/agategap/agategap/job"
+	"github.com/agategap/agategap/outcome"
+)
+
+// askShards asks the writer of a partition for shards. Without an answer the next pull gets what was granted.
+func (r *Runner) askShards(ctx context.Context, a PullArgs) []job.Shard {
+	var v PullReply
+
+	err := r.ask(ctx, a.Partition, func(x context.Context, address string) error {
+		wait := waitOf(x)
+		a.WaitMS = wait.Milliseconds()
+
+		if address == "" {
+			// Following a partition only to look for jobs would make a daemon that is cut off read every
+			// partition. Once the membership shows the cut, the partition gets followers that can be reached.
+			if !r.routes.follow.Follows(a.Partition) {
+				return outcome.New(outcome.LogUnavailable, outcome.NotRun, "no follower of partition %d can be reached", a.Partition)
+			}
+
+			r.local.pull(x, a, &v)
+
+			return nil
+		}
+
+		var w PullReply
+		if err := r.routes.call(x, address, "Job.Pull", wait, a, &w); err != nil {
+			return err
+		}
+
+		v = w
+
+		return nil
+	})
+	if err != nil {
+		return nil
+	}
+
+	return v.Shards
+}
+
+func (r *Runner) askItems(ctx context.Context, a ItemsArgs) (ItemsReply, error) {
+	var v ItemsReply
+
+	err := r.ask(ctx, a.Partition, func(x context.Context, address string) error {
+		if address == "" {
+			return r.local.Items(a, &v)
+		}
+
+		var w ItemsReply
+		if err := r.routes.call(x, address, "Job.Items", waitOf(x), a, &w); err != nil {
+			return err
+		}
+
+		v = w
+
+		return nil
+	})
+	if err == nil {
+		err = v.Failure.err()
+	}
+
+	return v, err
+}
+
+func (r *Runner) askStart(ctx context.Context, a StartArgs) (job.Renewal, error) {
+	var v RenewalReply
+
+	err := r.ask(ctx, a.Partition, func(x context.Context, address string) error {
+		wait := waitOf(x)
+		a.WaitMS = wait.Milliseconds()
+
+		if address == "" {
+			return r.local.Start(a, &v)
+		}
+
+		var w RenewalReply
+		if err := r.routes.call(x, address, "Job.Start", wait, a, &w); err != nil {
+			return err
+		}
+
+		v = w
+
+		return nil
+	})
+	if err == nil {
+		err = v.Failure.err()
+	}
+
+	return v.Renewal, err
+}
+
+func (r *Runner) askReport(ctx context.Context, a ReportArgs) (job.Renewal, error) {
+	var v RenewalReply
+
+	err := r.ask(ctx, a.Partition, func(x context.Context, address string) error {
+		wait := waitOf(x)
+		a.WaitMS = wait.Milliseconds()
+
+		if address == "" {
+			return r.local.Report(a, &v)
+		}
+
+		var w RenewalReply
+		if err := r.routes.call(x, address, "Job.Report", wait, a, &w); err != nil {
+			return err
+		}
+
+		v = w
+
+		return nil
+	})
+	if err == nil {
+		err = v.Failure.err()
+	}
+
+	return v.Renewal, err
+}
+
+// ask calls at with the followers of a partition in turn. All these calls may be repeated: the log's order
+// decides between two leases, and a second copy of a result or a start has no effect.
+func (r *Runner) ask(ctx context.Context, p int, at func(ctx context.Context, address string) error) error {
+	x, stop := context.WithTimeout(ctx, longestWait)
+	defer stop()
+
+	return r.routes.each(x, p, true, func(address string) error { return at(x, address) })
+}
--- /dev/null
+++ b/controller/grant.go
@@ -0,0 +1,321 @@
+package controller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/agategap/agategap/config"
+	"github.com/agategap/agategap/filter"
+	"github.com/agategap/agategap/job"
+	"github.com/agategap/agategap/journal"
+)
+
+// Settings gives the configuration in force.
+type Settings interface {
+	InForce() config.InForce
+	Service(name string) (filter.Service, bool)
+}
+
+const (
+	// pageBytes bounds the items or results in one message between daemons, well below the bound of a message.
+	pageBytes = 2 << 20
+	// freeShards bounds the shards without a lease of one job that are considered for one demand.
+	freeShards = 64
+)
+
+// JobService grants the shards of the partitions that this daemon writes, and answers the calls Job.View, Job.Pull,
+// Job.Items, Job.Start and Job.Report of other daemons.
+type JobService struct {
+	store    Store
+	settings Settings
+	follow   *Follow
+	clock    func() time.Time
+	counter  Counter
+	shards   []grantShard
+}
+
+// grantShard has the decisions about one partition.
+type grantShard struct {
+	mu      sync.Mutex
+	grantor job.Grantor
+	synced  time.Time
+}
+
+// syncInterval bounds the age of what a renewal says. A writer that is cut off from the log does not see a
+// cancellation, so it must not renew leases.
+const syncInterval = time.Second
+
+// NewJobService returns the service.
+func NewJobService(s Store, c Settings, f *Follow, clock func() time.Time, n Counter) *JobService {
+	return &JobService{store: s, settings: c, follow: f, clock: clock, counter: n, shards: make([]grantShard, f.Partitions())}
+}
+
+// View returns a job and a page of its results.
+func (s *JobService) View(a ViewArgs, r *ViewReply) error {
+	ctx, stop := serving(a.WaitMS)
+	defer stop()
+
+	s.view(ctx, a, r)
+
+	return nil
+}
+
+func (s *JobService) view(ctx context.Context, a ViewArgs, r *ViewReply) {
+	p := s.store.Partition(a.Job)
+
+	if err := s.store.Sync(ctx, p); err != nil {
+		r.Failure = failureOf(err)
+
+		return
+	}
+
+	s.store.Replay(p).Job(a.Job, func(b *job.Job) {
+		if b.Account() != a.Account {
+			return
+		}
+
+		r.Status = b.Status()
+
+		if a.Results {
+			r.Lines, r.Next = b.Lines(a.From, pageBytes)
+		}
+	})
+
+	if r.Status.ID == "" {
+		r.Failure = failureOf(errNoJob(a.Job))
+	}
+}
+
+// Pull grants shards to a daemon: at most what it can run and its failure domain's share.
+func (s *JobService) Pull(a PullArgs, r *PullReply) error {
+	ctx, stop := serving(a.WaitMS)
+	defer stop()
+
+	s.pull(ctx, a, r)
+
+	return nil
+}
+
+func (s *JobService) pull(ctx context.Context, a PullArgs, r *PullReply) {
+	if err := checkPartition(a.Partition, len(s.shards), s.counter); err != nil {
+		r.Failure = failureOf(err)
+
+		return
+	}
+
+	l := s.choose(a)
+	if len(l) == 0 {
+		return
+	}
+
+	if err := s.lease(ctx, a, l); err != nil {
+		r.Failure = failureOf(err)
+	}
+
+	r.Shards = s.granted(a, l)
+}
+
+// choose decides which shards the daemon gets.
+func (s *JobService) choose(a PullArgs) []job.Offer {
+	var c []job.Candidate
+
+	s.store.Replay(a.Partition).Jobs(func(b *job.Job) { c = append(c, b.Candidates(freeShards)...) })
+
+	d := job.NewDemand(a.Domain, a.Holder, a.Capacity, a.Held, a.Refused)
+	pause := s.settings.InForce().Document().Batch.PauseBound.Value()
+	g := &s.shards[a.Partition]
+
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	now := s.clock()
+
+	return g.grantor.Choose(now, g.grantor.Offers(now, c, d, pause), d)
+}
+
+// lease appends the lease records of the chosen shards.
+func (s *JobService) lease(ctx context.Context, a PullArgs, l []job.Offer) error {
+	var r []journal.Record
+
+	t := s.settings.InForce().Document().Batch.Lease.Value().Milliseconds()
+
+	for _, o := range l {
+		if o.Again() {
+			s.counter.Count("leases_sent_again", 1)
+
+			continue
+		}
+
+		if o.Replaces() != 0 {
+			s.counter.Count("leases_taken_over", 1)
+		}
+
+		r = append(r, journal.Record{Lease: &job.Lease{
+			Job: o.Ref().Job, Shard: o.Ref().Shard, Domain: a.Domain, Holder: a.Holder, DurationMS: t, Replaces: o.Replaces(),
+		}})
+	}
+
+	if len(r) == 0 {
+		return nil
+	}
+
+	err := s.store.Submit(ctx, a.Partition, r...)
+	g := &s.shards[a.Partition]
+
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	for _, o := range l {
+		g.grantor.Settled(o.Ref())
+	}
+
+	return err
+}
+
+// granted returns the chosen shards whose lease in force is the daemon's. Another writer's lease may have come first.
+func (s *JobService) granted(a PullArgs, l []job.Offer) []job.Shard {
+	var r []job.Shard
+
+	for _, o := range l {
+		s.store.Replay(a.Partition).Job(o.Ref().Job, func(b *job.Job) {
+			v, ok := b.Lease(o.Ref().Shard)
+			if ok && v.Holder() == a.Holder && b.State() == job.Running {
+				r = append(r, b.Leased(o.Ref().Shard))
+			}
+		})
+	}
+
+	s.counter.Count("shards_granted", int64(len(r)))
+
+	return r
+}
+
+// Items returns a page of the pending items of a leased shard.
+func (s *JobService) Items(a ItemsArgs, r *ItemsReply) error {
+	if err := checkPartition(a.Partition, len(s.shards), s.counter); err != nil {
+		r.Failure = failureOf(err)
+
+		return nil
+	}
+
+	found := false
+
+	s.store.Replay(a.Partition).Job(a.Job, func(b *job.Job) {
+		if found = b.Renewal(a.Shard, a.Lease).Holds; found {
+			r.Items, r.Next = b.ItemsFrom(a.Shard, a.From, pageBytes)
+		}
+	})
+
+	if !found {
+		r.Failure = failureOf(errNoJob(a.Job))
+	}
+
+	return nil
+}
+
+// Start records that items are about to be dispatched.
+func (s *JobService) Start(a StartArgs, r *RenewalReply) error {
+	ctx, stop := serving(a.WaitMS)
+	defer stop()
+
+	s.record(ctx, a.Partition, job.Ref{Job: a.Job, Shard: a.Shard}, a.Lease, r,
+		journal.Record{Start: &job.Start{Job: a.Job, Shard: a.Shard, Lease: a.Lease, Items: a.Items}})
+
+	return nil
+}
+
+// Report records what became of items and renews the lease. Without results the writer itself keeps the renewal; any
+// other daemon records it, so that the writer sees it.
+func (s *JobService) Report(a ReportArgs, r *RenewalReply) error {
+	ctx, stop := serving(a.WaitMS)
+	defer stop()
+
+	s.report(ctx, a, r)
+
+	return nil
+}
+
+func (s *JobService) report(ctx context.Context, a ReportArgs, r *RenewalReply) {
+	v := a.Report
+
+	if err := s.sync(ctx, a.Partition); err != nil {
+		r.Failure = failureOf(err)
+
+		return
+	}
+
+	var l []journal.Record
+
+	if len(v.Results) > 0 || len(v.Tries) > 0 || !s.follow.Writes(a.Partition) {
+		l = append(l, journal.Record{Progress: &job.Progress{Job: v.Job, Shard: v.Shard, Lease: v.Lease, Results: v.Results, Tries: v.Tries}})
+	}
+
+	s.record(ctx, a.Partition, v.Ref(), v.Lease, r, l...)
+
+	if r.Failure.err() == nil && r.Renewal.Holds {
+		s.renew(a.Partition, v.Ref(), v.Release)
+	}
+}
+
+// record appends records about a leased shard and returns whether the lease is in force after them. If it is, it was
+// when they were replayed.
+func (s *JobService) record(ctx context.Context, p int, f job.Ref, lease int64, r *RenewalReply, l ...journal.Record) {
+	if err := checkPartition(p, len(s.shards), s.counter); err != nil {
+		r.Failure = failureOf(err)
+
+		return
+	}
+
+	if len(l) > 0 {
+		if err := s.store.Submit(ctx, p, l...); err != nil {
+			r.Failure = failureOf(err)
+
+			return
+		}
+	}
+
+	s.store.Replay(p).Job(f.Job, func(b *job.Job) { r.Renewal = b.Renewal(f.Shard, lease) })
+}
+
+// sync replays what the log holds, unless that was done a moment ago.
+func (s *JobService) sync(ctx context.Context, p int) error {
+	if p < 0 || p >= len(s.shards) {
+		return nil
+	}
+
+	g := &s.shards[p]
+	now := s.clock()
+
+	g.mu.Lock()
+	fresh := now.Sub(g.synced) < syncInterval
+	g.mu.Unlock()
+
+	if fresh {
+		return nil
+	}
+
+	if err := s.store.Sync(ctx, p); err != nil {
+		return err
+	}
+
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	g.synced = now
+
+	return nil
+}
+
+func (s *JobService) renew(p int, f job.Ref, released bool) {
+	var v job.Grant
+
+	s.store.Replay(p).Job(f.Job, func(b *job.Job) { v, _ = b.Lease(f.Shard) })
+
+	g := &s.shards[p]
+
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	g.grantor.Renew(s.clock(), f, v, released)
+}
--- /dev/null
+++ b/controller/journal.go
@@ -0,0 +1,204 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/agategap/agategap/journal"
+	"github.com/agategap/agategap/outcome"
+)
+
+// Journal records and finds work through the writer of its partition.
+type Journal struct {
+	routes  *Routes
+	local   *JournalService
+	store   Partitions
+	counter Counter
+	outbox  []*outbox
+}
+
+// NewJournal returns the controller. local serves the partitions that this daemon follows.
+func NewJournal(r *Routes, local *JournalService, p Partitions, c Counter) *Journal {
+	j := &Journal{routes: r, local: local, store: p, counter: c}
+
+	for i := range r.follow.Partitions() {
+		j.outbox = append(j.outbox, newOutbox(i))
+	}
+
+	return j
+}
+
+// Find returns the work under a key, after replaying everything that was recorded before the call.
+func (j *Journal) Find(ctx context.Context, k journal.Key) (journal.Work, bool, error) {
+	r, err := j.lookup(ctx, LookupArgs{Account: k.Account(), Key: k.Key()})
+	if err != nil {
+		return journal.Work{}, false, err
+	}
+
+	return r.work(), r.Found, nil
+}
+
+// Await waits until the work under a key has ended.
+func (j *Journal) Await(ctx context.Context, k journal.Key) (journal.Work, error) {
+	for {
+		r, err := j.lookup(ctx, LookupArgs{Account: k.Account(), Key: k.Key(), Await: true})
+
+		switch {
+		case err == nil && !r.Found:
+			return journal.Work{}, outcome.New(outcome.NotFound, outcome.NotRun, "no work is recorded under this key")
+		case err == nil && r.Ended:
+			return r.work(), nil
+		case err != nil:
+			sleep(ctx, retryDelay)
+		}
+
+		if ctx.Err() != nil {
+			return r.work(), outcome.New(outcome.InProgress, outcome.Unknown, "the work is accepted and has not ended").
+				WithRetryAfter(time.Second)
+		}
+	}
+}
+
+// Submit appends records of the work under a key and returns the work. When it is not known whether the records
+// took effect, the work is looked up until that shows.
+func (j *Journal) Submit(ctx context.Context, k journal.Key, r ...journal.Record) (journal.Work, error) {
+	a := SubmitArgs{Partition: j.store.Partition(k.String()), Records: r, Account: k.Account(), Key: k.Key()}
+
+	v, err := j.submit(ctx, a)
+	if err == nil {
+		return v.work(), nil
+	}
+
+	if outcome.From(err).Effect() == outcome.NotRun {
+		return journal.Work{}, err
+	}
+
+	return j.resolve(ctx, k, r, err)
+}
+
+// Append appends records to a partition, for records that belong to no work.
+func (j *Journal) Append(ctx context.Context, p int, r ...journal.Record) error {
+	_, err := j.submit(ctx, SubmitArgs{Partition: p, Records: r})
+
+	return err
+}
+
+// submit sends records to the partition's writer until they are recorded, ctx ends or their fate is not known.
+func (j *Journal) submit(ctx context.Context, a SubmitArgs) (WorkReply, error) {
+	for {
+		v, err := j.submitOnce(ctx, a)
+		if err == nil || outcome.From(err).Effect() != outcome.NotRun || !outcome.Is(err, outcome.LogUnavailable) {
+			return v, err
+		}
+
+		sleep(ctx, retryDelay)
+
+		if ctx.Err() != nil {
+			return v, err
+		}
+	}
+}
+
+func (j *Journal) submitOnce(ctx context.Context, a SubmitArgs) (WorkReply, error) {
+	var v WorkReply
+
+	err := j.routes.each(ctx, a.Partition, false, func(address string) error {
+		wait := waitOf(ctx)
+		a.WaitMS = wait.Milliseconds()
+
+		if address == "" {
+			j.local.submit(ctx, a, &v)
+
+			return nil
+		}
+
+		var r WorkReply
+		if err := j.routes.call(ctx, address, "Journal.Submit", wait, a, &r); err != nil {
+			return err
+		}
+
+		v = r
+
+		return nil
+	})
+	if err == nil {
+		err = v.Failure.err()
+	}
+
+	return v, err
+}
+
+// resolveGrace is the time for finding out what became of records once their caller's time is over.
+const resolveGrace = time.Second
+
+// resolve looks for the effect of records whose submission got no answer. Without one the outcome stays unknown,
+// as the records may still be queued at the writer.
+func (j *Journal) resolve(ctx context.Context, k journal.Key, r []journal.Record, cause error) (journal.Work, error) {
+	j.counter.Count("submissions_looked_up", 1)
+
+	x, stop := context.WithTimeout(context.WithoutCancel(ctx), waitOf(ctx)+resolveGrace)
+	defer stop()
+
+	for x.Err() == nil {
+		if w, ok, err := j.Find(x, k); err == nil && settled(w, ok, r) {
+			return w, nil
+		}
+
+		sleep(x, retryDelay)
+	}
+
+	return journal.Work{}, outcome.From(cause).WithEffect(outcome.Unknown)
+}
+
+// settled reports whether the work shows that records took effect, or never can.
+func settled(w journal.Work, found bool, records []journal.Record) bool {
+	for _, r := range records {
+		switch {
+		case r.Accept != nil && !found:
+			return false
+		case r.Claim != nil && w.Claim() == r.Claim.Replaces:
+			return false
+		case r.Release != nil && found && w.Claim() == r.Release.Claim:
+			return false
+		case r.Complete != nil && found && !w.Ended():
+			return false
+		}
+	}
+
+	return true
+}
+
+// lookup asks the followers of a key's partition. Reads may be repeated at the next follower.
+func (j *Journal) lookup(ctx context.Context, a LookupArgs) (WorkReply, error) {
+	var v WorkReply
+
+	p := j.store.Partition(journal.NewKey(a.Account, a.Key).String())
+
+	err := j.routes.each(ctx, p, true, func(address string) error {
+		wait := waitOf(ctx)
+		a.WaitMS = wait.Milliseconds()
+
+		if address == "" {
+			x, stop := context.WithTimeout(ctx, wait)
+			defer stop()
+
+			j.local.lookup(x, a, &v)
+
+			return nil
+		}
+
+		var r WorkReply
+		if err := j.routes.call(ctx, address, "Journal.Lookup", wait, a, &r); err != nil {
+			return err
+		}
+
+		v = r
+
+		return nil
+	})
+	if err == nil {
+		err = v.Failure.err()
+	}
+
+	return v, err
+}
--- /dev/null
+++ b/controller/message.go
@@ -0,0 +1,156 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/agategap/agategap/job"
+	"github.com/agategap/agategap/journal"
+	"github.com/agategap/agategap/outcome"
+)
+
+// The messages of the services Journal and Job. They are wire messages: a codec fills their fields.
+
+// Failure is an error as it passes between daemons.
+type Failure struct {
+	Code         string `msgpack:"code"` // empty for no error
+	Effect       string `msgpack:"effect"`
+	Message      string `msgpack:"message"`
+	RetryAfterMS int64  `msgpack:"retry_after_ms"`
+}
+
+// SubmitArgs asks a follower to append records.
+type SubmitArgs struct {
+	Partition int              `msgpack:"partition"`
+	Records   []journal.Record `msgpack:"records"`
+	Account   string           `msgpack:"account"` // account and key of the work to return; empty for none
+	Key       string           `msgpack:"key"`
+	WaitMS    int64            `msgpack:"wait_ms"` // time for the log
+}
+
+// LookupArgs asks a follower for work.
+type LookupArgs struct {
+	Account string `msgpack:"account"`
+	Key     string `msgpack:"key"`
+	Await   bool   `msgpack:"await"` // wait for the end of the work instead of reading the log's tail
+	WaitMS  int64  `msgpack:"wait_ms"`
+}
+
+// WorkReply answers Journal.Submit and Journal.Lookup.
+type WorkReply struct {
+	Failure     Failure          `msgpack:"failure"`
+	Found       bool             `msgpack:"found"`
+	Accept      journal.Accept   `msgpack:"accept"`
+	Claim       journal.Claim    `msgpack:"claim"`
+	ClaimedAtMS int64            `msgpack:"claimed_at_ms"`
+	Result      journal.Complete `msgpack:"result"`
+	Ended       bool             `msgpack:"ended"`
+}
+
+// ViewArgs asks a follower for a job.
+type ViewArgs struct {
+	Account string `msgpack:"account"`
+	Job     string `msgpack:"job"`
+	Results bool   `msgpack:"results"` // return results as well
+	From    int    `msgpack:"from"`    // first item whose result is returned
+	WaitMS  int64  `msgpack:"wait_ms"`
+}
+
+// ViewReply answers Job.View.
+type ViewReply struct {
+	Failure Failure    `msgpack:"failure"`
+	Status  job.Status `msgpack:"status"`
+	Lines   []job.Line `msgpack:"lines"`
+	Next    int        `msgpack:"next"` // first item of the next page; the number of items after the last page
+}
+
+// PullArgs asks the writer of a partition for shards to run.
+type PullArgs struct {
+	Partition int       `msgpack:"partition"`
+	Domain    string    `msgpack:"domain"`   // failure domain of the daemon that asks
+	Holder    string    `msgpack:"holder"`   // its VM and incarnation
+	Capacity  int       `msgpack:"capacity"` // items that it can run now
+	Held      []job.Ref `msgpack:"held"`     // shards of the partition that it runs
+	Refused   []string  `msgpack:"refused"`  // jobs that an operator stopped at this daemon
+	WaitMS    int64     `msgpack:"wait_ms"`
+}
+
+// PullReply answers Job.Pull.
+type PullReply struct {
+	Failure Failure     `msgpack:"failure"`
+	Shards  []job.Shard `msgpack:"shards"` // without items
+}
+
+// ItemsArgs asks for the pending items of a leased shard.
+type ItemsArgs struct {
+	Partition int    `msgpack:"partition"`
+	Job       string `msgpack:"job"`
+	Shard     int    `msgpack:"shard"`
+	Lease     int64  `msgpack:"lease"`
+	From      int    `msgpack:"from"` // first item index
+}
+
+// ItemsReply answers Job.Items.
+type ItemsReply struct {
+	Failure Failure         `msgpack:"failure"`
+	Items   []job.ShardItem `msgpack:"items"`
+	Next    int             `msgpack:"next"` // first index of the next page; 0 after the last one
+}
+
+// StartArgs asks for a confirmed record that items are about to be dispatched.
+type StartArgs struct {
+	Partition int    `msgpack:"partition"`
+	Job       string `msgpack:"job"`
+	Shard     int    `msgpack:"shard"`
+	Lease     int64  `msgpack:"lease"`
+	Items     []byte `msgpack:"items"` // serialized roaring bitmap of item indexes
+	WaitMS    int64  `msgpack:"wait_ms"`
+}
+
+// ReportArgs reports what became of items and renews a lease.
+type ReportArgs struct {
+	Partition int        `msgpack:"partition"`
+	Report    job.Report `msgpack:"report"`
+	WaitMS    int64      `msgpack:"wait_ms"`
+}
+
+// RenewalReply answers Job.Start and Job.Report.
+type RenewalReply struct {
+	Failure Failure     `msgpack:"failure"`
+	Renewal job.Renewal `msgpack:"renewal"`
+}
+
+func failureOf(err error) Failure {
+	e := outcome.From(err)
+
+	return Failure{Code: string(e.Code()), Effect: string(e.Effect()), Message: e.Message(), RetryAfterMS: e.RetryAfter().Milliseconds()}
+}
+
+// err returns the error, or nil.
+func (f Failure) err() error {
+	if f.Code == "" {
+		return nil
+	}
+
+	return outcome.New(outcome.Code(f.Code), outcome.Effect(f.Effect), "%s", f.Message).
+		WithRetryAfter(time.Duration(f.RetryAfterMS) * time.Millisecond)
+}
+
+func replyOf(w journal.Work, ok bool) WorkReply {
+	if !ok {
+		return WorkReply{}
+	}
+
+	return WorkReply{
+		Found: true, Accept: w.Accept(), Claim: w.ClaimRecord(), ClaimedAtMS: w.ClaimedAt().UnixMilli(),
+		Result: w.Result(), Ended: w.Ended(),
+	}
+}
+
+// work returns the work of a reply; its zero value when there is none.
+func (r WorkReply) work() journal.Work {
+	if !r.Found {
+		return journal.Work{}
+	}
+
+	return journal.NewWork(r.Accept, r.Claim, time.UnixMilli(r.ClaimedAtMS), r.Result, r.Ended)
+}
--- /dev/null
+++ b/controller/outbox.go
@@ -0,0 +1,140 @@
+package controller
+
+import (
+	"context"
+	"sync"
+
+	"github.com/agategap/agategap/journal"
+	"github.com/agategap/agategap/outcome"
+)
+
+const (
+	// outboxRecords bounds the records of a partition that wait for the log. Work whose completion is dropped
+	// is run again or looked up by the partition's writer.
+	outboxRecords = 8192
+	// outboxBatch bounds the records of one submission.
+	outboxBatch = 256
+	// outboxBytes bounds the bodies of one submission, well below the bound of a message.
+	outboxBytes = 2 << 20
+)
+
+// outbox holds the records of one partition that were queued without waiting. It is a shard of the Journal.
+type outbox struct {
+	partition int
+	wake      chan struct{}
+
+	mu      sync.Mutex
+	records []journal.Record
+}
+
+func newOutbox(p int) *outbox { return &outbox{partition: p, wake: make(chan struct{}, 1)} }
+
+// Enqueue queues records of the work under a key. They are sent until a follower confirms them; a second copy
+// of a completion or a release has no effect.
+func (j *Journal) Enqueue(k journal.Key, r ...journal.Record) {
+	o := j.outbox[j.store.Partition(k.String())]
+
+	if !o.add(r) {
+		j.counter.Count("outbox_dropped", int64(len(r)))
+	}
+}
+
+// Run sends queued records until ctx ends.
+func (j *Journal) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+
+	for _, o := range j.outbox {
+		wg.Go(func() { j.flush(ctx, o) })
+	}
+
+	wg.Wait()
+
+	return nil
+}
+
+// Queued returns the number of records that no follower has confirmed.
+func (j *Journal) Queued() int {
+	n := 0
+	for _, o := range j.outbox {
+		n += o.len()
+	}
+
+	return n
+}
+
+func (j *Journal) flush(ctx context.Context, o *outbox) {
+	for ctx.Err() == nil {
+		r := o.head()
+		if len(r) == 0 {
+			select {
+			case <-o.wake:
+			case <-ctx.Done():
+			}
+
+			continue
+		}
+
+		x, stop := context.WithTimeout(ctx, longestWait)
+		_, err := j.submitOnce(x, SubmitArgs{Partition: o.partition, Records: r})
+
+		stop()
+
+		// A refusal as invalid never changes, and the records behind it must not wait for it.
+		if err == nil || outcome.Is(err, outcome.InvalidRequest) {
+			o.drop(len(r))
+
+			continue
+		}
+
+		sleep(ctx, retryDelay)
+	}
+}
+
+func (o *outbox) add(r []journal.Record) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	if len(o.records)+len(r) > outboxRecords {
+		return false
+	}
+
+	o.records = append(o.records, r...)
+
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+
+	return true
+}
+
+// head returns the first records, as many as one submission carries.
+func (o *outbox) head() []journal.Record {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	n, size := 0, 0
+	for n < len(o.records) && n < outboxBatch && size < outboxBytes {
+		if c := o.records[n].Complete; c != nil {
+			size += len(c.Body) + len(c.Text)
+		}
+
+		n++
+	}
+
+	return append([]journal.Record(nil), o.records[:n]...)
+}
+
+func (o *outbox) drop(n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	o.records = append([]journal.Record(nil), o.records[n:]...)
+}
+
+func (o *outbox) len() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	return len(o.records)
+}
--- /dev/null
+++ b/controller/runner.go
@@ -0,0 +1,383 @@
+package controller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/agategap/agategap/filter"
+	"github.com/agategap/agategap/job"
+	"github.com/agategap/agategap/outcome"
+)
+
+const (
+	// shortestPull and longestPull bound the time between two pulls from a partition that has no shards to grant.
+	shortestPull = 200 * time.Millisecond
+	longestPull  = 2 * time.Second
+	// reportTick is the time between two looks for reports that are due.
+	reportTick = 50 * time.Millisecond
+	// firstItems and mostItems bound the batch items that a daemon runs at a time.
+	firstItems = 16
+	mostItems  = 256
+	// releaseWait bounds the last reports of a daemon that stops.
+	releaseWait = 2 * time.Second
+	// reserveItems is how many times its capacity in items a daemon holds, so that it does not run dry between pulls.
+	reserveItems = 2
+)
+
+// Runner pulls shards of jobs for its failure domain, runs their items and reports.
+type Runner struct {
+	jobs     *Jobs
+	routes   *Routes
+	local    *JobService
+	settings Settings
+	chain    filter.Handler
+	lookup   filter.Lookup
+	holder   string
+	domain   string
+	clock    func() time.Time
+	counter  Counter
+	logger   zerolog.Logger
+
+	shards []*heldShard
+	wake   chan struct{}
+
+	mu       sync.Mutex
+	capacity *job.Capacity
+	running  int
+}
+
+// RunnerParts are what a Runner needs from the rest of the daemon.
+type RunnerParts struct {
+	jobs     *Jobs
+	chain    filter.Handler
+	lookup   filter.Lookup
+	holder   string
+	domain   string
+	clock    func() time.Time
+	counter  Counter
+	logger   zerolog.Logger
+	capacity *job.Capacity
+}
+
+// NewRunnerParts returns the parts. chain runs items, lookup asks targets about items that may have run; holder and
+// domain go into leases.
+func NewRunnerParts(j *Jobs, chain filter.Handler, l filter.Lookup, holder, domain string, clock func() time.Time, c Counter, z zerolog.Logger) RunnerParts {
+	return RunnerParts{
+		jobs: j, chain: chain, lookup: l, holder: holder, domain: domain, clock: clock, counter: c, logger: z,
+		capacity: job.NewCapacity(firstItems, mostItems),
+	}
+}
+
+// NewRunner returns the controller.
+func NewRunner(p RunnerParts) *Runner {
+	r := &Runner{
+		jobs: p.jobs, routes: p.jobs.routes, local: p.jobs.local, settings: p.jobs.settings, chain: p.chain, lookup: p.lookup,
+		holder: p.holder, domain: p.domain, clock: p.clock, counter: p.counter, logger: p.logger, capacity: p.capacity,
+		wake: make(chan struct{}, 1),
+	}
+
+	for i := range r.routes.follow.Partitions() {
+		r.shards = append(r.shards, newHeldShard(i))
+	}
+
+	return r
+}
+
+// Run runs shards until ctx ends, and then gives them back.
+func (r *Runner) Run(ctx context.Context) error {
+	x, stop := context.WithCancel(ctx)
+
+	var loops, items sync.WaitGroup
+
+	loops.Go(func() { r.pullLoop(x) })
+	loops.Go(func() { r.dispatchLoop(x, &items) })
+	loops.Go(func() { r.reportLoop(x, &items) })
+
+	<-ctx.Done()
+	stop()
+	loops.Wait()
+	r.release(context.WithoutCancel(ctx))
+	items.Wait()
+
+	return nil
+}
+
+// Stop stops a job at this daemon at once and for good, whether or not the log can be reached. It returns the number of
+// shards that ran here.
+func (r *Runner) Stop(id string) int {
+	n := 0
+
+	for _, h := range r.shards {
+		n += h.stop(id)
+	}
+
+	r.logger.Info().Str("job", id).Int("shards", n).Msg("job stopped at this daemon by an operator")
+
+	return n
+}
+
+// Held returns the shards that this daemon holds.
+func (r *Runner) Held() []job.Ref {
+	var l []job.Ref
+
+	for _, h := range r.shards {
+		v, _, _ := h.demand(time.Time{})
+		l = append(l, v...)
+	}
+
+	return l
+}
+
+// Wake makes the next pull from the partition of a job happen at once.
+func (r *Runner) Wake(id string) {
+	r.shards[r.local.store.Partition(id)].wake()
+}
+
+// pullLoop pulls from one partition after the other.
+func (r *Runner) pullLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, h := range r.shards {
+			r.pull(ctx, h)
+		}
+
+		sleep(ctx, reportTick)
+	}
+}
+
+// want returns the number of items that can be taken now.
+func (r *Runner) want() int {
+	n := 0
+	for _, h := range r.shards {
+		n += h.load()
+	}
+
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return reserveItems*r.capacity.Items() - n
+}
+
+func (r *Runner) pull(ctx context.Context, h *heldShard) {
+	held, refused, due := h.demand(r.clock())
+
+	w := r.want()
+	if !due || w <= 0 || ctx.Err() != nil {
+		return
+	}
+
+	a := PullArgs{Partition: h.partition, Domain: r.domain, Holder: r.holder, Capacity: w, Held: held, Refused: refused}
+	got := false
+
+	for _, s := range r.askShards(ctx, a) {
+		now := r.clock()
+
+		if r.fetch(ctx, h.partition, &s) && h.take(ctx, now, s) {
+			got = true
+		}
+	}
+
+	h.pulled(r.clock(), got)
+
+	if got {
+		r.signal()
+	}
+}
+
+// fetch reads the items of a granted shard. A shard whose items cannot be read is granted again by the next pull.
+func (r *Runner) fetch(ctx context.Context, p int, s *job.Shard) bool {
+	a := ItemsArgs{Partition: p, Job: s.Job, Shard: s.Shard, Lease: s.Lease}
+
+	for {
+		v, err := r.askItems(ctx, a)
+		if err != nil {
+			return false
+		}
+
+		s.Items = append(s.Items, v.Items...)
+
+		if v.Next == 0 {
+			return true
+		}
+
+		a.From = v.Next
+	}
+}
+
+// dispatchLoop starts items while there is capacity.
+func (r *Runner) dispatchLoop(ctx context.Context, wg *sync.WaitGroup) {
+	for ctx.Err() == nil {
+		at := r.dispatch(wg)
+
+		var timer <-chan time.Time
+		if !at.IsZero() {
+			timer = time.After(max(time.Millisecond, at.Sub(r.clock())))
+		}
+
+		select {
+		case <-r.wake:
+		case <-timer:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// dispatch starts as many items as the capacity allows, and returns the time at which there may be another one.
+func (r *Runner) dispatch(wg *sync.WaitGroup) time.Time {
+	started := map[leaseRef][]running{}
+
+	var at time.Time
+
+	for r.enter() {
+		h, next := r.bestShard()
+		at = next
+
+		if h == nil {
+			r.leave()
+
+			break
+		}
+
+		t, x, ok := h.next(r.clock())
+		if !ok {
+			r.leave()
+
+			continue
+		}
+
+		v := running{shard: h, task: t, ctx: x}
+
+		if t.Idempotent() || t.Lookup() {
+			wg.Go(func() { r.run(v) })
+
+			continue
+		}
+
+		k := leaseRef{ref: t.Ref(), lease: t.Lease()}
+		started[k] = append(started[k], v)
+	}
+
+	for _, l := range started {
+		wg.Go(func() { r.start(l, wg) })
+	}
+
+	return at
+}
+
+// bestShard returns the shard with the first task in order, or the time at which there may be one.
+func (r *Runner) bestShard() (*heldShard, time.Time) {
+	var b *heldShard
+
+	var rank job.Rank
+
+	var at time.Time
+
+	now := r.clock()
+
+	for _, h := range r.shards {
+		k, ok, next := h.head(now)
+
+		switch {
+		case ok && (b == nil || k.Before(rank)):
+			b, rank = h, k
+		case !ok && !next.IsZero() && (at.IsZero() || next.Before(at)):
+			at = next
+		}
+	}
+
+	return b, at
+}
+
+func (r *Runner) enter() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if r.running >= r.capacity.Items() {
+		return false
+	}
+
+	r.running++
+
+	return true
+}
+
+func (r *Runner) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.running--
+}
+
+func (r *Runner) signal() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// reportLoop sends reports, also while no item ends, and stops what was not renewed within the cut-off bound.
+func (r *Runner) reportLoop(ctx context.Context, wg *sync.WaitGroup) {
+	for ctx.Err() == nil {
+		bound := r.settings.InForce().Document().Batch.CutoffRunBound.Value()
+
+		for _, h := range r.shards {
+			for _, v := range h.due(r.clock()) {
+				wg.Go(func() { r.report(ctx, h, v) })
+			}
+
+			if n := h.cutoff(r.clock(), bound); n > 0 {
+				r.counter.Count("shards_cut_off", int64(n))
+				r.logger.Warn().Int("partition", h.partition).Int("shards", n).
+					Msg("job shards stopped: they were not renewed within the cut-off bound")
+			}
+		}
+
+		sleep(ctx, reportTick)
+	}
+}
+
+func (r *Runner) report(ctx context.Context, h *heldShard, v job.Report) {
+	a, err := r.askReport(ctx, ReportArgs{Partition: h.partition, Report: v})
+	if err != nil {
+		r.counter.Count("reports_failed", 1)
+		h.lost(v)
+
+		return
+	}
+
+	if h.answered(v, a) && !a.Holds {
+		r.counter.Count("shards_lost", 1)
+	}
+
+	r.signal()
+}
+
+// release gives the leases of all shards back, so that others need not wait for their end.
+func (r *Runner) release(ctx context.Context) {
+	x, stop := context.WithTimeout(ctx, releaseWait)
+	defer stop()
+
+	var wg sync.WaitGroup
+
+	for _, h := range r.shards {
+		for _, v := range h.release(r.clock()) {
+			wg.Go(func() { _, _ = r.askReport(x, ReportArgs{Partition: h.partition, Report: v}) })
+		}
+	}
+
+	wg.Wait()
+}
+
+func (r *Runner) noteCapacity(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	switch {
+	case err == nil:
+		r.capacity.Success()
+	case outcome.Is(err, outcome.Overloaded) || outcome.Is(err, outcome.NoTarget):
+		r.capacity.Refused(r.clock())
+	}
+}
--- /dev/null
+++ b/controller/serve.go
@@ -0,0 +1,98 @@
+package controller
+
+import (
+	"context"
+
+	"github.com/agategap/agategap/journal"
+	"github.com/agategap/agategap/outcome"
+)
+
+// JournalService answers the calls Journal.Submit and Journal.Lookup of other daemons.
+type JournalService struct {
+	store      Store
+	partitions int
+	counter    Counter
+}
+
+// NewJournalService returns the service over a store of a number of partitions.
+func NewJournalService(s Store, partitions int, c Counter) *JournalService {
+	return &JournalService{store: s, partitions: partitions, counter: c}
+}
+
+// Submit appends records and returns the work under the key, if one is given.
+func (s *JournalService) Submit(a SubmitArgs, r *WorkReply) error {
+	ctx, stop := serving(a.WaitMS)
+	defer stop()
+
+	s.submit(ctx, a, r)
+
+	return nil
+}
+
+// Lookup returns the work under a key.
+func (s *JournalService) Lookup(a LookupArgs, r *WorkReply) error {
+	ctx, stop := serving(a.WaitMS)
+	defer stop()
+
+	s.lookup(ctx, a, r)
+
+	return nil
+}
+
+func (s *JournalService) submit(ctx context.Context, a SubmitArgs, r *WorkReply) {
+	if err := checkPartition(a.Partition, s.partitions, s.counter); err != nil {
+		r.Failure = failureOf(err)
+
+		return
+	}
+
+	if err := s.store.Submit(ctx, a.Partition, a.Records...); err != nil {
+		r.Failure = failureOf(err)
+
+		return
+	}
+
+	if a.Account != "" || a.Key != "" {
+		*r = replyOf(s.store.Replay(a.Partition).Lookup(journal.NewKey(a.Account, a.Key)))
+	}
+}
+
+func (s *JournalService) lookup(ctx context.Context, a LookupArgs, r *WorkReply) {
+	k := journal.NewKey(a.Account, a.Key)
+	p := s.store.Partition(k.String())
+
+	if !a.Await {
+		if err := s.store.Sync(ctx, p); err != nil {
+			r.Failure = failureOf(err)
+
+			return
+		}
+	}
+
+	for {
+		ch := s.store.Changed(p)
+		w, ok := s.store.Replay(p).Lookup(k)
+		*r = replyOf(w, ok)
+
+		if !a.Await || !ok || w.Ended() {
+			return
+		}
+
+		select {
+		case <-ch:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// checkPartition refuses a partition that does not exist, which a daemon with another configuration may ask for.
+func checkPartition(p, n int, c Counter) error {
+	if p >= 0 && p < n {
+		return nil
+	}
+
+	c.Count("peer_calls_refused", 1)
+
+	return outcome.New(outcome.InvalidRequest, outcome.NotRun, "partition %d does not exist; there are %d", p, n)
+}
--- /dev/null
+++ b/controller/work.go
@@ -0,0 +1,295 @@
+package controller
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/agategap/agategap/filter"
+	"github.com/agategap/agategap/journal"
+	"github.com/agategap/agategap/outcome"
+)
+
+const (
+	// workInterval is the time between two looks for accepted work that nobody runs.
+	workInterval = 500 * time.Millisecond
+	// goneBound is how long a daemon must be missing among the peers before its work is taken over. The list lags and
+	// a suspicion may be withdrawn.
+	goneBound = 5 * time.Second
+	// claimSpare is what a holder gets after the deadline of its work for recording the end.
+	claimSpare = 10 * time.Second
+	// workAtOnce bounds the accepted work that this daemon runs at a time.
+	workAtOnce = 64
+	// longestPause bounds the wait between two attempts at work for which there is no target.
+	longestPause = 5 * time.Second
+)
+
+// Accepted runs accepted work that nobody runs: asynchronous requests, and work whose claim holder is gone. It does so for
+// the partitions that this daemon writes.
+type Accepted struct {
+	journal  *Journal
+	follow   *Follow
+	settings Settings
+	chain    filter.Handler
+	lookup   filter.Lookup
+	holder   string
+	newID    func() string
+	clock    func() time.Time
+	counter  Counter
+	logger   zerolog.Logger
+	gate     chan struct{}
+
+	mu      sync.Mutex
+	present map[string]bool
+	missing map[string]time.Time
+	running map[journal.Key]bool
+}
+
+// AcceptedParts are what Accepted needs from the rest of the daemon.
+type AcceptedParts struct {
+	journal  *Journal
+	settings Settings
+	chain    filter.Handler
+	lookup   filter.Lookup
+	holder   string
+	newID    func() string
+	clock    func() time.Time
+	counter  Counter
+	logger   zerolog.Logger
+}
+
+// NewAcceptedParts returns the parts. newID returns identifiers of claims, which are request identifiers at targets and
+// never repeat.
+func NewAcceptedParts(
+	j *Journal, c Settings, chain filter.Handler, l filter.Lookup, holder string, newID func() string, clock func() time.Time, n Counter, z zerolog.Logger,
+) AcceptedParts {
+	return AcceptedParts{journal: j, settings: c, chain: chain, lookup: l, holder: holder, newID: newID, clock: clock, counter: n, logger: z}
+}
+
+// NewAccepted returns the controller.
+func NewAccepted(p AcceptedParts) *Accepted {
+	return &Accepted{
+		journal: p.journal, follow: p.journal.routes.follow, settings: p.settings, chain: p.chain, lookup: p.lookup,
+		holder: p.holder, newID: p.newID, clock: p.clock, counter: p.counter, logger: p.logger,
+		gate: make(chan struct{}, workAtOnce), missing: map[string]time.Time{}, running: map[journal.Key]bool{},
+	}
+}
+
+// Run looks for work until ctx ends.
+func (c *Accepted) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+
+	for ctx.Err() == nil {
+		c.Scan(ctx, &wg)
+		sleep(ctx, workInterval)
+	}
+
+	wg.Wait()
+
+	return nil
+}
+
+// Scan starts what is to be done now, as members of wg.
+func (c *Accepted) Scan(ctx context.Context, wg *sync.WaitGroup) {
+	c.note(c.follow.Peers())
+
+	for p := range c.follow.Partitions() {
+		if !c.follow.Writes(p) {
+			continue
+		}
+
+		for _, w := range c.journal.store.Replay(p).Unended() {
+			c.drive(ctx, wg, w)
+		}
+	}
+}
+
+// drive starts the next step of work, if there is one and room for it.
+func (c *Accepted) drive(ctx context.Context, wg *sync.WaitGroup, w journal.Work) {
+	s, ok := c.settings.Service(w.Accept().Service)
+	if !ok {
+		return
+	}
+
+	k := journal.NewKey(w.Accept().Account, w.Accept().Key)
+
+	step := w.Step(c.clock(), c.gone(w.Holder()), s.Deadline(), claimSpare)
+	if step == journal.Leave || !c.enter(k) {
+		return
+	}
+
+	select {
+	case c.gate <- struct{}{}:
+	default:
+		c.leave(k)
+
+		return
+	}
+
+	wg.Go(func() {
+		defer func() { <-c.gate; c.leave(k) }()
+
+		if step == journal.Resolve {
+			c.resolve(ctx, k, s, w)
+
+			return
+		}
+
+		c.claim(ctx, k, s, w)
+	})
+}
+
+// resolve ends work that may have been dispatched and must not be again.
+func (c *Accepted) resolve(ctx context.Context, k journal.Key, s filter.Service, w journal.Work) {
+	r := filter.Resolve(ctx, c.lookup, s, w)
+	c.counter.Count("work_resolved", 1)
+	c.record(ctx, k, journal.Record{Complete: &r})
+}
+
+// claim asks for the right to run work, and runs it if replay shows that the claim won.
+func (c *Accepted) claim(ctx context.Context, k journal.Key, s filter.Service, w journal.Work) {
+	id := c.newID()
+	l := &journal.Claim{Account: k.Account(), Key: k.Key(), ID: id, Holder: c.holder, Replaces: w.Claim()}
+
+	v, err := c.journal.Submit(ctx, k, journal.Record{Claim: l})
+	if err != nil || v.Claim() != id || v.Ended() {
+		return
+	}
+
+	if w.Claim() != "" {
+		c.counter.Count("work_taken_over", 1)
+	}
+
+	r := c.run(ctx, s, v)
+	if r == nil {
+		return
+	}
+
+	r.Account, r.Key, r.Claim = k.Account(), k.Key(), id
+	c.counter.Count("work_run", 1)
+	c.record(ctx, k, journal.Record{Complete: r})
+}
+
+// run dispatches claimed work until it has an end. It returns nil when ctx ends first; the next writer resolves that.
+func (c *Accepted) run(ctx context.Context, s filter.Service, w journal.Work) *journal.Complete {
+	a := w.Accept()
+
+	for pause := retryDelay; ; pause = min(2*pause, longestPause) {
+		d := latest(time.UnixMilli(a.DeadlineMS), c.clock().Add(s.Deadline()))
+
+		x, stop := context.WithTimeout(ctx, d.Sub(c.clock()))
+		in := filter.Input{ID: w.Claim(), Kind: filter.Kind(a.Kind), Service: a.Service, Path: a.Path, Key: a.Key, Body: a.Body, Arrived: c.clock()}
+
+		var b filter.Collector
+
+		err := c.chain.Handle(x, filter.NewAcceptedRequest(in, filter.NewAccount(a.Account, 0), s, d), &b)
+
+		stop()
+
+		if err == nil {
+			r := b.Complete()
+
+			return &r
+		}
+
+		e := outcome.From(err)
+
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case e.Effect() == outcome.NotRun && e.Code() != outcome.InvalidRequest:
+			sleep(ctx, pause)
+		case e.Effect() == outcome.Unknown && !s.Idempotent():
+			r := filter.Resolve(ctx, c.lookup, s, w)
+
+			return &r
+		default:
+			return &journal.Complete{Effect: journal.Failed, Text: e.Message()}
+		}
+	}
+}
+
+// record submits the end of work until it is confirmed or ctx ends.
+func (c *Accepted) record(ctx context.Context, k journal.Key, r journal.Record) {
+	for ctx.Err() == nil {
+		x, stop := context.WithTimeout(ctx, longestWait)
+		w, err := c.journal.Submit(x, k, r)
+
+		stop()
+
+		if err == nil && (w.Ended() || w.Claim() != r.Complete.Claim) {
+			return
+		}
+
+		sleep(ctx, retryDelay)
+	}
+}
+
+// gone reports whether the daemon that holds a claim is missing among the peers for a bound of time, or is an earlier
+// incarnation of this daemon.
+func (c *Accepted) gone(holder string) bool {
+	vm, _, _ := strings.Cut(holder, "/")
+	if holder == "" || holder == c.holder {
+		return false
+	}
+
+	if own, _, _ := strings.Cut(c.holder, "/"); vm == own {
+		return true
+	}
+
+	return c.missingFor(vm) > goneBound
+}
+
+// note removes the daemons that are present from those that are missing.
+func (c *Accepted) note(l []Peer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.present = make(map[string]bool, len(l))
+
+	for _, p := range l {
+		c.present[p.VM()] = true
+		delete(c.missing, p.VM())
+	}
+}
+
+// missingFor returns how long a daemon has been missing at every look.
+func (c *Accepted) missingFor(vm string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.present[vm] {
+		return 0
+	}
+
+	t, ok := c.missing[vm]
+	if !ok {
+		t = c.clock()
+		c.missing[vm] = t
+	}
+
+	return c.clock().Sub(t)
+}
+
+func (c *Accepted) enter(k journal.Key) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.running[k] {
+		return false
+	}
+
+	c.running[k] = true
+
+	return true
+}
+
+func (c *Accepted) leave(k journal.Key) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	delete(c.running, k)
+}
--- a/daemon/adapt.go
+++ b/daemon/adapt.go
@@ -4,9 +4,7 @@
 	"context"
 
 	"github.com/agategap/agategap/controller"
-	"github.com/agategap/agategap/journal"
 	"github.com/agategap/agategap/platform"
-	"github.com/agategap/agategap/store"
 )
 
 // machines gives the platform's list to the controllers.
@@ -35,40 +33,3 @@
 
 	return r, nil
 }
-
-// recorder gives the store to the filters.
-type recorder struct {
-	store *store.Store
-}
-
-// Find returns the work under a key, after replaying everything that was recorded before the call.
-func (r recorder) Find(ctx context.Context, k journal.Key) (journal.Work, bool, error) {
-	if err := r.store.Sync(ctx, r.store.Partition(k.String())); err != nil {
-		return journal.Work{}, false, err
-	}
-
-	w, ok := r.store.Work(k)
-
-	return w, ok, nil
-}
-
-// Await waits until the work under a key has ended.
-func (r recorder) Await(ctx context.Context, k journal.Key) (journal.Work, error) {
-	return r.store.Await(ctx, k)
-}
-
-// Submit appends records of the work under a key and returns the work.
-func (r recorder) Submit(ctx context.Context, k journal.Key, v ...journal.Record) (journal.Work, error) {
-	if err := r.store.Submit(ctx, r.store.Partition(k.String()), v...); err != nil {
-		return journal.Work{}, err
-	}
-
-	w, _ := r.store.Work(k)
-
-	return w, nil
-}
-
-// Enqueue queues records of the work under a key.
-func (r recorder) Enqueue(k journal.Key, v ...journal.Record) {
-	r.store.Enqueue(r.store.Partition(k.String()), v...)
-}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -37,7 +37,6 @@
 	group     run.Group
 	config    *controller.Config
 	targets   *controller.Targets
-	jobs      *controller.Jobs
 	store     *store.Store
 	metrics   *metrics
 	server    *peer.Server
@@ -102,17 +101,14 @@
 	d.targets = controller.NewTargets(w, pool, d.settings.FailureDomain)
 
 	c := target.New()
-	r := recorder{store: d.store}
-	parts := filter.NewParts(d.config, r, pool, time.Now, d.holder, recordWait)
-	online := filter.OnlineChain(parts, c)
-	d.jobs = controller.NewJobs(d.store, d.config, filter.BatchChain(parts, c), d.holder, d.settings.FailureDomain, time.Now, d.logger)
+	v := d.buildWork(d.targets, pool, c)
+	online := filter.OnlineChain(v.parts, c)
 
-	d.serve(d.listeners[0], front.New(d.metrics.count(online), d.config, d.jobs, r, time.Now).Handler())
-	d.serve(d.listeners[1], operator.New(d, d.metrics.handler(), d.dumpers()).Handler())
+	d.serve(d.listeners[0], front.New(d.metrics.count(online), d.config, v.jobs, v.journal, time.Now).Handler())
+	d.serve(d.listeners[1], operator.New(d, d.metrics.handler(), d.dumpers()).WithJobs(v.runner).Handler())
 	d.group.Add(func() error { return d.server.Serve(d.listeners[2]) }, func(error) { d.server.Close(); d.client.Close() })
 	d.actor(d.config.Run)
 	d.actor(d.targets.Run)
-	d.actor(d.jobs.Run)
 	d.group.Add(d.store.Wait, func(error) { d.store.Stop() })
 }
 
--- a/filter/order.go
+++ b/filter/order.go
@@ -10,6 +10,14 @@
 	clock     func() time.Time
 	holder    string
 	wait      time.Duration
+	lookup    Lookup
+}
+
+// WithLookup returns a copy with a way to ask targets about work whose answer was lost.
+func (p Parts) WithLookup(l Lookup) Parts {
+	p.lookup = l
+
+	return p
 }
 
 // NewParts returns the parts. holder identifies this daemon in claims; recordWait bounds the time that work
@@ -24,7 +32,7 @@
 		NewIdentify(p.directory),
 		NewDeduplicate(p.recorder),
 		NewAdmit(),
-		NewRecord(p.recorder, p.holder, p.wait),
+		NewRecord(p.recorder, p.holder, p.wait).WithLookup(p.lookup),
 		NewRoute(p.router),
 		NewDispatch(p.router, p.clock),
 		NewVerify(),
--- a/filter/record.go
+++ b/filter/record.go
@@ -23,6 +23,7 @@
 	recorder Recorder
 	wait     time.Duration
 	holder   string
+	lookup   Lookup
 }
 
 // NewRecord returns the filter. holder identifies this daemon in claims. wait bounds the time that work waits
@@ -31,6 +32,13 @@
 	return &Record{recorder: r, holder: holder, wait: wait}
 }
 
+// WithLookup sets how targets are asked about work whose answer was lost.
+func (f *Record) WithLookup(l Lookup) *Record {
+	f.lookup = l
+
+	return f
+}
+
 // Name returns "record".
 func (f *Record) Name() string { return "record" }
 
@@ -79,9 +87,12 @@
 		RetainMS:   r.Service().RetainResults().Milliseconds(),
 	}
 
-	if r.Async() {
+	// The body of work that may be run again lets the partition's writer finish it if this daemon is lost.
+	if r.Async() || a.Idempotent {
 		a.Body = r.Body()
+	}
 
+	if r.Async() {
 		return f.recorder.Submit(c, k, journal.Record{Accept: a})
 	}
 
@@ -108,11 +119,18 @@
 	k := r.WorkKey()
 
 	if err != nil {
-		return f.fail(ctx, r, err)
+		return f.fail(ctx, r, s, err)
 	}
 
 	c := b.Complete()
 	c.Account, c.Key, c.Claim = k.Account(), k.Key(), r.claim
+
+	return f.end(ctx, r, s, c)
+}
+
+// end records how work ended and answers from the record in force.
+func (f *Record) end(ctx context.Context, r *Request, s Sink, c journal.Complete) error {
+	k := r.WorkKey()
 	f.recorder.Enqueue(k, journal.Record{Complete: &c})
 
 	w, err := f.recorder.Await(ctx, k)
@@ -126,7 +144,7 @@
 
 // fail records work that ended in an error. Work that was not sent is released, and only a confirmed release
 // makes "not run" true, as the claim could otherwise be resumed.
-func (f *Record) fail(ctx context.Context, r *Request, err error) error {
+func (f *Record) fail(ctx context.Context, r *Request, s Sink, err error) error {
 	e := outcome.From(err)
 	k := r.WorkKey()
 
@@ -143,6 +161,10 @@
 		return e
 	}
 
+	if c, ok := f.find(ctx, r, e); ok {
+		return f.end(ctx, r, s, c)
+	}
+
 	c := &journal.Complete{Account: k.Account(), Key: k.Key(), Claim: r.claim, Effect: journal.Failed, Text: e.Message()}
 	if e.Effect() == outcome.Unknown {
 		c.Effect = journal.Unknown
@@ -153,6 +175,25 @@
 	return e
 }
 
+// find asks the targets about work whose answer was lost and which may not run again.
+func (f *Record) find(ctx context.Context, r *Request, e *outcome.Error) (journal.Complete, bool) {
+	if f.lookup == nil || e.Effect() != outcome.Unknown || r.Service().Idempotent() || !r.Service().Lookup() {
+		return journal.Complete{}, false
+	}
+
+	a, ok := ask(ctx, f.lookup, r.ServiceName(), r.ID())
+	if !ok {
+		return journal.Complete{}, false
+	}
+
+	k := r.WorkKey()
+
+	return journal.Complete{
+		Account: k.Account(), Key: k.Key(), Claim: r.claim, Effect: journal.Done,
+		Status: a.Status(), ContentType: a.ContentType(), Body: a.Body(),
+	}, true
+}
+
 func release(k journal.Key, claim string) journal.Record {
 	return journal.Record{Release: &journal.Release{Account: k.Account(), Key: k.Key(), Claim: claim}}
 }
--- a/front/batch.go
+++ b/front/batch.go
@@ -188,23 +188,25 @@
 	Failed   int       `json:"failed"`
 	Unknown  int       `json:"unknown"`
 	Pending  int       `json:"pending"`
+
+	// CutoffRunBound is set in the answer to a cancellation: a failure domain that cannot be reached goes on with
+	// the items that it holds for at most this time.
+	CutoffRunBound string `json:"cutoff_run_bound,omitempty"`
 }
 
-func answerOf(b *job.Job) jobAnswer {
+func answerOf(s job.Status) jobAnswer {
 	return jobAnswer{
-		ID: b.ID(), State: b.State().String(), Service: b.Service(), Priority: b.Priority(), Deadline: b.Deadline().UTC(),
-		Items: b.Items(), Done: b.Count(job.Done), Failed: b.Count(job.Failed), Unknown: b.Count(job.Unknown), Pending: b.Pending(),
+		ID: s.ID, State: s.State.String(), Service: s.Service, Priority: s.Priority, Deadline: time.UnixMilli(s.DeadlineMS).UTC(),
+		Items: s.Items, Done: s.Done, Failed: s.Failed, Unknown: s.Unknown, Pending: s.Pending,
 	}
 }
 
 func (f *Front) status(w http.ResponseWriter, r *http.Request) {
-	var a jobAnswer
-
-	f.view(w, r, func(b *job.Job) { a = answerOf(b) }, func() { writeJSON(w, http.StatusOK, a) })
+	f.answer(w, r, func(string, string) (string, error) { return "", nil })
 }
 
-// view reads a job of the caller's account and then writes the answer.
-func (f *Front) view(w http.ResponseWriter, r *http.Request, read func(b *job.Job), write func()) {
+// answer makes a change to a job of the caller's account and answers with the job's status.
+func (f *Front) answer(w http.ResponseWriter, r *http.Request, do func(account, id string) (bound string, err error)) {
 	a, ok := f.accounts.Account(bearer(r))
 	if !ok {
 		writeError(w, errUnauthenticated())
@@ -212,13 +214,23 @@
 		return
 	}
 
-	if err := f.jobs.View(r.Context(), a.Name(), r.PathValue("id"), read); err != nil {
+	bound, err := do(a.Name(), r.PathValue("id"))
+	if err != nil {
+		writeError(w, err)
+
+		return
+	}
+
+	s, err := f.jobs.Status(r.Context(), a.Name(), r.PathValue("id"))
+	if err != nil {
 		writeError(w, err)
 
 		return
 	}
 
-	write()
+	v := answerOf(s)
+	v.CutoffRunBound = bound
+	writeJSON(w, http.StatusOK, v)
 }
 
 // resultLine is one line of a job's results.
@@ -230,37 +242,54 @@
 	Body     json.RawMessage `json:"body,omitempty"`
 }
 
+// jobResults sends the results page by page. When a page cannot be read, the connection is closed, as the caller would
+// take a short answer for a whole one.
 func (f *Front) jobResults(w http.ResponseWriter, r *http.Request) {
-	var l []resultLine
+	a, ok := f.accounts.Account(bearer(r))
+	if !ok {
+		writeError(w, errUnauthenticated())
 
-	f.view(w, r, func(b *job.Job) { l = resultLines(b) }, func() {
-		w.Header().Set("Content-Type", "application/jsonl")
+		return
+	}
 
-		e := json.NewEncoder(w)
-		for _, v := range l {
-			_ = e.Encode(v)
-		}
-	})
-}
+	id, e := r.PathValue("id"), json.NewEncoder(w)
 
-func resultLines(b *job.Job) []resultLine {
-	var l []resultLine
+	s, err := f.jobs.Status(r.Context(), a.Name(), id)
+	if err != nil {
+		writeError(w, err)
 
-	for i := range b.Items() {
-		v, ok := b.Result(i)
-		if !ok {
-			continue
+		return
+	}
+
+	for from := 0; from < s.Items; {
+		l, next, err := f.jobs.Results(r.Context(), a.Name(), id, from)
+
+		switch {
+		case err != nil && from == 0:
+			writeError(w, err)
+
+			return
+		case err != nil || next <= from:
+			panic(http.ErrAbortHandler)
+		case from == 0:
+			w.Header().Set("Content-Type", "application/jsonl")
 		}
 
-		t := resultLine{CustomID: b.Item(i).CustomID, Effect: v.Effect.String(), Attempts: v.Attempts, Reason: v.Reason}
-		if len(v.Body) > 0 {
-			t.Body = bodyOf(v.Body)
+		for _, v := range l {
+			_ = e.Encode(lineOf(v))
 		}
 
-		l = append(l, t)
+		from = next
+	}
+}
+
+func lineOf(l job.Line) resultLine {
+	t := resultLine{CustomID: l.CustomID, Effect: l.Result.Effect.String(), Attempts: l.Result.Attempts, Reason: l.Result.Reason}
+	if len(l.Result.Body) > 0 {
+		t.Body = bodyOf(l.Result.Body)
 	}
 
-	return l
+	return t
 }
 
 // bodyOf returns a result as JSON: as it is, or as a string.
@@ -275,7 +304,11 @@
 }
 
 func (f *Front) cancel(w http.ResponseWriter, r *http.Request) {
-	f.change(w, r, func(account, id string) error { return f.jobs.Cancel(r.Context(), account, id) })
+	f.answer(w, r, func(account, id string) (string, error) {
+		b, err := f.jobs.Cancel(r.Context(), account, id)
+
+		return b.String(), err
+	})
 }
 
 func (f *Front) amend(w http.ResponseWriter, r *http.Request) {
@@ -288,7 +321,7 @@
 		return
 	}
 
-	f.change(w, r, func(account, id string) error {
+	f.answer(w, r, func(account, id string) (string, error) {
 		var np *int
 
 		var nd *time.Time
@@ -301,23 +334,6 @@
 			nd = &d
 		}
 
-		return f.jobs.Amend(r.Context(), account, id, np, nd)
+		return "", f.jobs.Amend(r.Context(), account, id, np, nd)
 	})
 }
-
-func (f *Front) change(w http.ResponseWriter, r *http.Request, do func(account, id string) error) {
-	a, ok := f.accounts.Account(bearer(r))
-	if !ok {
-		writeError(w, errUnauthenticated())
-
-		return
-	}
-
-	if err := do(a.Name(), r.PathValue("id")); err != nil {
-		writeError(w, err)
-
-		return
-	}
-
-	f.status(w, r)
-}
--- a/front/front.go
+++ b/front/front.go
@@ -38,8 +38,9 @@
 // Jobs accepts and reads batch jobs.
 type Jobs interface {
 	Submit(ctx context.Context, s controller.JobSpec) (string, error)
-	View(ctx context.Context, account, id string, f func(b *job.Job)) error
-	Cancel(ctx context.Context, account, id string) error
+	Status(ctx context.Context, account, id string) (job.Status, error)
+	Results(ctx context.Context, account, id string, from int) ([]job.Line, int, error)
+	Cancel(ctx context.Context, account, id string) (time.Duration, error)
 	Amend(ctx context.Context, account, id string, priority *int, deadline *time.Time) error
 }
 
--- a/job/job.go
+++ b/job/job.go
@@ -39,13 +39,16 @@
 	results map[uint32]Result
 	counts  [Unknown + 1]int
 	leases  map[int]Grant
+	left    []int
+	tries   map[uint32]int
 	endedAt time.Time
 }
 
 // Grant is the lease in force on a shard.
 type Grant struct {
-	record Lease
-	offset int64
+	record   Lease
+	offset   int64
+	renewals int
 }
 
 // Offset returns the lease's offset, which is its fencing token.
@@ -62,11 +65,14 @@
 	return time.Duration(g.record.DurationMS) * time.Millisecond
 }
 
+// Renewals returns the number of progress records under the lease.
+func (g Grant) Renewals() int { return g.renewals }
+
 // New returns the job that o opens.
 func New(o Open) *Job {
 	o.ShardItems = max(1, o.ShardItems)
 
-	return &Job{
+	j := &Job{
 		open:    o,
 		items:   make([]Item, o.Items),
 		carried: roaring.New(),
@@ -74,7 +80,15 @@
 		ended:   roaring.New(),
 		results: map[uint32]Result{},
 		leases:  map[int]Grant{},
+		tries:   map[uint32]int{},
+	}
+
+	for s := range j.Shards() {
+		first, end := j.Bounds(s)
+		j.left = append(j.left, end-first)
 	}
+
+	return j
 }
 
 // ID returns the job identifier.
@@ -150,6 +164,16 @@
 	return l
 }
 
+// PendingIn returns the number of pending items of shard s.
+func (j *Job) PendingIn(s int) int { return j.left[s] }
+
+// Attempts returns the attempts that were reported of pending item i.
+func (j *Job) Attempts(i int) int { return j.tries[uint32(i)] } //nolint:gosec // an item index
+
+// Dispatched returns the number of items that were marked as about to be dispatched, which only items that may
+// not run twice are.
+func (j *Job) Dispatched() int { return int(j.started.GetCardinality()) } //nolint:gosec // at most Items
+
 // Started reports whether item i may already have been dispatched under an earlier lease.
 func (j *Job) Started(i int) bool { return j.started.ContainsInt(i) }
 
@@ -219,7 +243,13 @@
 		return false
 	}
 
-	j.started.Or(b)
+	first, end := j.Bounds(r.Shard)
+
+	for _, i := range b.ToArray() {
+		if n := int(i); n >= first && n < end {
+			j.started.Add(i)
+		}
+	}
 
 	return true
 }
@@ -231,9 +261,19 @@
 		return 0
 	}
 
+	g := j.leases[r.Shard]
+	g.renewals++
+	j.leases[r.Shard] = g
+
 	n := 0
 	first, end := j.Bounds(r.Shard)
 
+	for _, t := range r.Tries {
+		if i := int(t.Index); i >= first && i < end && !j.ended.ContainsInt(i) {
+			j.tries[t.Index] = max(j.tries[t.Index], t.Attempts)
+		}
+	}
+
 	for _, v := range r.Results {
 		i := int(v.Index)
 		if i < first || i >= end || v.Effect < Done || v.Effect > Unknown || !j.ended.CheckedAdd(v.Index) {
@@ -242,6 +282,9 @@
 
 		j.results[v.Index] = v
 		j.counts[v.Effect]++
+		j.left[r.Shard]--
+		delete(j.tries, v.Index)
+
 		n++
 	}
 
--- a/job/record.go
+++ b/job/record.go
@@ -91,12 +91,19 @@
 	Attempts int    `msgpack:"attempts"` // attempts made
 }
 
+// Try says how often a pending item was attempted without success.
+type Try struct {
+	Index    uint32 `msgpack:"index"`
+	Attempts int    `msgpack:"attempts"`
+}
+
 // Progress reports ended items of a shard and renews its lease.
 type Progress struct {
 	Job     string   `msgpack:"job"`
 	Shard   int      `msgpack:"shard"`
 	Lease   int64    `msgpack:"lease"` // offset of the lease
 	Results []Result `msgpack:"results"`
+	Tries   []Try    `msgpack:"tries"` // attempts so far, so that the bound holds across takeovers
 }
 
 // Cancel stops a job. It fences every lease, start and progress after it.
--- /dev/null
+++ b/journal/work.go
@@ -0,0 +1,57 @@
+package journal
+
+import "time"
+
+// NewWork returns the state of work that another follower of the partition reported.
+func NewWork(a Accept, c Claim, claimedAt time.Time, r Complete, ended bool) Work {
+	return Work{accept: a, claim: c, claimedAt: claimedAt, result: r, ended: ended}
+}
+
+// ClaimRecord returns the claim in force; its zero value for none.
+func (w Work) ClaimRecord() Claim { return w.claim }
+
+// Step says what the writer of a partition does with work that nobody may be running.
+type Step uint8
+
+const (
+	// Leave means that the work has ended, or that its holder still has time.
+	Leave Step = iota
+	// Run means that the work is claimed and dispatched for the first time.
+	Run
+	// Rerun means that the claim is replaced and the work is dispatched again.
+	Rerun
+	// Resolve means that the work may have been dispatched and must not be again: it is looked up or ends as unknown.
+	Resolve
+)
+
+// Step returns what to do at time now. gone says that the claim's holder is not among the daemons any more. spare
+// is the time that a holder gets after the deadline, and after the claim plus the service's own deadline, as
+// work that was taken over late is given its time anew.
+func (w Work) Step(now time.Time, gone bool, perClaim, spare time.Duration) Step {
+	if w.ended {
+		return Leave
+	}
+
+	if w.claim.ID == "" {
+		if w.accept.Async {
+			return Run
+		}
+
+		return Leave
+	}
+
+	end := time.UnixMilli(w.accept.DeadlineMS)
+	if c := w.claimedAt.Add(perClaim); c.After(end) {
+		end = c
+	}
+
+	if !gone && now.Before(end.Add(spare)) {
+		return Leave
+	}
+
+	if w.accept.Idempotent && (w.accept.Async || len(w.accept.Body) > 0) {
+		return Rerun
+	}
+
+	return Resolve
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -27,6 +27,7 @@
 	ready   Readiness
 	metrics http.Handler
 	dumpers map[string]Dumper
+	jobs    JobStopper
 }
 
 // New returns the interface. dumpers has the parts of the state dump by name.
@@ -43,6 +44,7 @@
 	m.HandleFunc("GET /ready", o.getReady)
 	m.HandleFunc("GET /dump", o.getDump)
 	m.Handle("GET /metrics", o.metrics)
+	m.HandleFunc("POST /jobs/{id}/stop", o.stopJob)
 
 	return m
 }
--- /dev/null
+++ b/target/lookup.go
@@ -0,0 +1,89 @@
+package target
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/agategap/agategap/filter"
+)
+
+// Targets gives the targets of a service.
+type Targets interface {
+	TargetsOf(service string) []filter.Target
+}
+
+// Lookup asks targets whether they ran a request identifier, with GET /requests/ID.
+type Lookup struct {
+	client  *Client
+	targets Targets
+}
+
+// NewLookup returns a lookup at all targets of a service.
+func NewLookup(c *Client, t Targets) *Lookup { return &Lookup{client: c, targets: t} }
+
+// lookupsAtOnce bounds the questions about one request at a time.
+const lookupsAtOnce = 8
+
+// Find asks the targets of a service at the same time. The error is that of a target that did not answer, and only
+// counts when no other one knows the request.
+func (l *Lookup) Find(ctx context.Context, service, id string) (filter.Answer, bool, error) {
+	found := make(chan filter.Answer, 1)
+
+	var g errgroup.Group
+
+	g.SetLimit(lookupsAtOnce)
+
+	for _, t := range l.targets.TargetsOf(service) {
+		g.Go(func() error {
+			a, ok, err := l.ask(ctx, t, id)
+			if ok {
+				select {
+				case found <- a:
+				default:
+				}
+			}
+
+			return err
+		})
+	}
+
+	err := g.Wait()
+
+	select {
+	case a := <-found:
+		return a, true, nil
+	default:
+		return filter.Answer{}, false, err
+	}
+}
+
+func (l *Lookup) ask(ctx context.Context, t filter.Target, id string) (filter.Answer, bool, error) {
+	u := "http://" + t.Address() + "/requests/" + url.PathEscape(id)
+
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
+	if err != nil {
+		return filter.Answer{}, false, err
+	}
+
+	a, err := l.client.http.Do(q)
+	if err != nil {
+		return filter.Answer{}, false, err
+	}
+	defer closeBody(a.Body)
+
+	switch a.StatusCode {
+	case http.StatusOK:
+		b, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
+
+		return filter.NewAnswer(a.StatusCode, a.Header.Get("Content-Type"), b), err == nil, err
+	case http.StatusNotFound:
+		return filter.Answer{}, false, nil
+	default:
+		return filter.Answer{}, false, fmt.Errorf("the target answered the lookup with status %d", a.StatusCode)
+	}
+}
