Grant slots at the owner of each target

Requests went to the target with the fewest requests of the local daemon, without limit, class or deadline. Now the owner of a target grants its slots (sched), the pool chooses a target and asks its owner (balance, controller/slots), and dispatch hedges, retries within a budget and resumes preempted items (retry, filter).

Two faults were found by the new tests and fixed: a slot for batch work at risk went to an item that was not at risk, and a stream resumed behind its last token ended as an answer to another request.

--- /dev/null
+++ b/controller/slot_owner.go
@@ -0,0 +1,260 @@
+package controller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/agategap/agategap/balance"
+	"github.com/agategap/agategap/sched"
+	"github.com/agategap/agategap/shard"
+)
+
+// ownSide is what the owner of targets keeps for requesters: who waits for a decision, and which preemptions wait for
+// their holder's next renewal.
+type ownSide struct {
+	waits [slotShards]waitShard
+	mail  mailboxes
+}
+
+type waitShard struct {
+	mu    sync.Mutex
+	chans map[sched.GrantID]chan sched.Action
+}
+
+type mailboxes struct {
+	mu    sync.Mutex
+	boxes map[string]*mailbox
+}
+
+// mailbox has the preempted grants of one holder. Its channel has a value while there are some.
+type mailbox struct {
+	mu        sync.Mutex
+	preempted []sched.GrantID
+	wake      chan struct{}
+}
+
+func (m *mailboxes) box(holder string) *mailbox {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	if m.boxes == nil {
+		m.boxes = map[string]*mailbox{}
+	}
+
+	b := m.boxes[holder]
+	if b == nil {
+		b = &mailbox{wake: make(chan struct{}, 1)}
+		m.boxes[holder] = b
+	}
+
+	return b
+}
+
+func (b *mailbox) put(id sched.GrantID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.preempted = append(b.preempted, id)
+
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (b *mailbox) take() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	var l []string
+	for _, id := range b.preempted {
+		l = append(l, string(id))
+	}
+
+	b.preempted = nil
+
+	return l
+}
+
+func (o *ownSide) wait(id sched.GrantID) chan sched.Action {
+	h := &o.waits[shard.Index(string(id), slotShards)]
+	c := make(chan sched.Action, 1)
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if h.chans == nil {
+		h.chans = map[sched.GrantID]chan sched.Action{}
+	}
+
+	h.chans[id] = c
+
+	return c
+}
+
+// answer tells the requester of a demand, if it still waits.
+func (o *ownSide) answer(id sched.GrantID, a sched.Action) {
+	h := &o.waits[shard.Index(string(id), slotShards)]
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if c := h.chans[id]; c != nil {
+		delete(h.chans, id)
+		c <- a
+	}
+}
+
+// carryOut tells requesters and holders what a queue decided.
+func (s *Slots) carryOut(l []sched.Action) {
+	for _, a := range l {
+		if a.Kind() != sched.Preempt {
+			s.own.answer(a.ID(), a)
+
+			continue
+		}
+
+		if a.Holder() == s.self.VM() {
+			s.held.preempt(a.ID())
+		} else {
+			s.own.mail.box(a.Holder()).put(a.ID())
+		}
+	}
+}
+
+// decide passes a demand to a queue and waits for the decision.
+func (s *Slots) decide(ctx context.Context, q *sched.Queue, d sched.Demand) sched.Action {
+	if w := d.MaxWait(); w == 0 || w > ownWait {
+		d = d.WithMaxWait(ownWait)
+	}
+
+	c := s.own.wait(d.ID())
+	s.carryOut(q.Request(s.clock(), d))
+
+	select {
+	case a := <-c:
+		return a
+	case <-ctx.Done():
+		s.own.answer(d.ID(), sched.Action{})
+		s.carryOut(q.Release(s.clock(), d.ID(), sched.Observation{}))
+
+		return <-c
+	}
+}
+
+// acquireOwn waits for a slot of a queue of this daemon.
+// private says that no other daemon is told of the slot.
+func (s *Slots) acquireOwn(ctx context.Context, target string, d sched.Demand, q *sched.Queue, private bool) (balance.Permit, error) {
+	d = d.WithHolder(s.self.VM())
+
+	var own *sched.Queue
+	if private {
+		own = q
+	}
+
+	p := s.held.add(s, target, "", d, own)
+
+	a := s.decide(ctx, q, d)
+	if ctx.Err() != nil || a.Kind() != sched.Grant {
+		s.held.remove(p)
+
+		if a.Kind() == sched.Grant {
+			s.carryOut(q.Release(s.clock(), d.ID(), sched.Observation{}))
+		}
+
+		return nil, errBusy(target, a.RetryAfter())
+	}
+
+	p.granted.Store(true)
+
+	return p, nil
+}
+
+// SlotService is the net/rpc service of an owner.
+type SlotService struct {
+	slots *Slots
+}
+
+// Service returns the service to register as "Slot".
+func (s *Slots) Service() SlotService { return SlotService{slots: s} }
+
+// Acquire answers when the demand is granted or rejected.
+func (v SlotService) Acquire(a sched.AcquireArgs, r *sched.AcquireReply) error {
+	s := v.slots
+	q := s.queue(a.Target)
+
+	d := demandOf(a.Demand, s.clock()).WithMaxWait(time.Duration(a.WaitUS) * time.Microsecond)
+	o := s.decide(context.Background(), q, d)
+
+	r.Granted = o.Kind() == sched.Grant
+	r.RetryAfterUS = o.RetryAfter().Microseconds()
+	r.Load = loadMessage(q.Load())
+
+	return nil
+}
+
+// Renew renews the holder's slots and answers when one of them is preempted, or after the wait.
+func (v SlotService) Renew(a sched.RenewArgs, r *sched.RenewReply) error {
+	s := v.slots
+	now := s.clock()
+
+	for _, m := range a.Slots {
+		s.carryOut(s.queue(m.Target).Renew(now, demandOf(m, now)))
+	}
+
+	b := s.own.mail.box(a.Holder)
+	t := time.NewTimer(min(renewWait, time.Duration(a.WaitUS)*time.Microsecond))
+
+	defer t.Stop()
+
+	select {
+	case <-b.wake:
+	case <-t.C:
+	}
+
+	r.Preempted = b.take()
+
+	return nil
+}
+
+// Release takes a slot back, or withdraws a demand.
+func (v SlotService) Release(a sched.ReleaseArgs, r *sched.ReleaseReply) error {
+	s := v.slots
+	q := s.queue(a.Target)
+
+	us := func(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+	o := sched.NewObservation(us(a.FirstUS), us(a.PerUS), us(a.TotalUS), a.Tokens, a.OK)
+
+	s.carryOut(q.Release(s.clock(), sched.GrantID(a.ID), o))
+	s.own.answer(sched.GrantID(a.ID), sched.Action{})
+	r.Load = loadMessage(q.Load())
+
+	return nil
+}
+
+func loadMessage(l sched.Load) sched.LoadMessage {
+	return sched.LoadMessage{Online: l.Online(), Batch: l.Batch(), Waiting: l.Waiting(), Limit: l.Limit()}
+}
+
+func demandOf(m sched.HeldMessage, now time.Time) sched.Demand {
+	var t time.Time
+	if m.RemainingUS != 0 {
+		t = now.Add(time.Duration(m.RemainingUS) * time.Microsecond)
+	}
+
+	return sched.NewDemand(sched.GrantID(m.ID), m.Holder, m.Account, sched.Class(m.Class), t).WithSize(m.Tokens, m.Long)
+}
+
+func heldMessage(target string, d sched.Demand, now time.Time) sched.HeldMessage {
+	m := sched.HeldMessage{
+		Target: target, ID: string(d.ID()), Holder: d.Holder(), Account: d.Account(), Class: uint8(d.Class()),
+		Tokens: d.Tokens(), Long: d.Long(),
+	}
+
+	if !d.Deadline().IsZero() {
+		m.RemainingUS = d.Deadline().Sub(now).Microseconds()
+	}
+
+	return m
+}
--- a/controller/targets.go
+++ b/controller/targets.go
@@ -53,9 +53,10 @@
 	Machines(ctx context.Context) ([]Machine, error)
 }
 
-// TargetPool takes the targets that may get new work.
+// TargetPool takes the targets that may get new work, of this failure domain and of others.
 type TargetPool interface {
 	Set(service string, t []filter.Target)
+	SetRemote(service string, t []filter.Target)
 }
 
 // listInterval is the time between two reads of the platform's list.
@@ -113,24 +114,44 @@
 	defer t.mu.Unlock()
 
 	t.machines = l
-	pools := map[string][]filter.Target{}
-
-	for s := range t.services {
-		pools[s] = nil
-	}
+	pools, remote := map[string][]filter.Target{}, map[string][]filter.Target{}
 
 	for _, m := range l {
 		if m.Leaving() {
 			t.leaving[m.Name()] = true
 		}
 
-		if m.Target() && m.Domain() == t.domain && !t.leaving[m.Name()] {
+		if !m.Target() {
+			continue
+		}
+
+		t.services[m.Service()] = true
+
+		switch {
+		case t.leaving[m.Name()]:
+		case m.Domain() == t.domain:
 			pools[m.Service()] = append(pools[m.Service()], filter.NewTarget(m.Name(), m.Address()))
+		default:
+			remote[m.Service()] = append(remote[m.Service()], filter.NewTarget(m.Name(), m.Address()))
 		}
 	}
 
-	for s, p := range pools {
-		t.services[s] = true
-		t.pool.Set(s, p)
+	for s := range t.services {
+		t.pool.Set(s, pools[s])
+		t.pool.SetRemote(s, remote[s])
 	}
 }
+
+// Domain returns the failure domain of a target.
+func (t *Targets) Domain(target string) (string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	for _, m := range t.machines {
+		if m.Target() && m.Name() == target {
+			return m.Domain(), true
+		}
+	}
+
+	return "", false
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,7 +6,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
-	mrand "math/rand/v2"
+	"maps"
 	"net"
 	"net/http"
 	"time"
@@ -16,7 +16,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/agategap/agategap/appender"
-	"github.com/agategap/agategap/balance"
 	"github.com/agategap/agategap/controller"
 	"github.com/agategap/agategap/filter"
 	"github.com/agategap/agategap/front"
@@ -43,6 +42,7 @@
 	server    *peer.Server
 	client    *peer.Client
 	listeners []net.Listener
+	dumps     map[string]operator.Dumper // of parts that only some settings build
 }
 
 const (
@@ -59,7 +59,7 @@
 
 // New returns a daemon with open listeners, so that a bad address is reported before anything runs.
 func New(s settings.Daemon, z zerolog.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, logger: z.With().Str("vm", s.VM).Str("failure_domain", s.FailureDomain).Logger()}
+	d := &Daemon{dumps: map[string]operator.Dumper{}, settings: s, logger: z.With().Str("vm", s.VM).Str("failure_domain", s.FailureDomain).Logger()}
 	d.holder = s.VM + "/" + incarnation()
 
 	for _, a := range []string{s.CallerAddress, s.OperatorAddress, s.PeerAddress} {
@@ -98,12 +98,13 @@
 	d.store = store.New(p, wire.Groups{}, store.NewOptions(d.holder, partitions, appender.NewLimits(0, 0, appendInterval), time.Now))
 	d.config = controller.NewConfig(p, wire.Versions{}, d.logger)
 
-	pool := balance.New(balance.LeastLoaded{}, mrand.New(mrand.NewPCG(uint64(time.Now().UnixNano()), 0))) //nolint:gosec // load balancing
+	pool := d.buildPool()
 	d.targets = controller.NewTargets(w, pool, d.settings.FailureDomain)
 
 	c := target.New()
 	r := recorder{store: d.store}
-	parts := filter.NewParts(d.config, r, pool, time.Now, d.holder, recordWait)
+	parts := filter.NewParts(d.config, r, pool, time.Now, d.holder, recordWait).
+		WithRetries(filter.NewRetries(slotBounds{config: d.config}, uint64(time.Now().UnixNano()))) //nolint:gosec // spreads retries
 	online := filter.OnlineChain(parts, c)
 	d.jobs = controller.NewJobs(d.store, d.config, filter.BatchChain(parts, c), d.holder, d.settings.FailureDomain, time.Now, d.logger)
 
@@ -185,7 +186,7 @@
 }
 
 func (d *Daemon) dumpers() map[string]operator.Dumper {
-	return map[string]operator.Dumper{
+	m := map[string]operator.Dumper{
 		"daemon": operator.DumpFunc(func() any {
 			return map[string]any{"vm": d.settings.VM, "holder": d.holder, "failure_domain": d.settings.FailureDomain}
 		}),
@@ -196,4 +197,8 @@
 		}),
 		"store": operator.DumpFunc(func() any { return map[string]any{"followed": d.store.Followed()} }),
 	}
+
+	maps.Copy(m, d.dumps)
+
+	return m
 }
--- /dev/null
+++ b/daemon/slots.go
@@ -0,0 +1,73 @@
+package daemon
+
+import (
+	mrand "math/rand/v2"
+	"time"
+
+	"github.com/agategap/agategap/balance"
+	"github.com/agategap/agategap/controller"
+	"github.com/agategap/agategap/operator"
+)
+
+// slotBounds gives the bounds of the configuration in force to the pool, the slots and the retries.
+type slotBounds struct {
+	config *controller.Config
+}
+
+// SlowShare returns the share of a service's targets that may be set aside as slow.
+func (b slotBounds) SlowShare() float64 { return b.config.InForce().Document().Bounds.SlowShare }
+
+// SpillShare returns the share of a service's requests that other failure domains may serve.
+func (b slotBounds) SpillShare() float64 { return b.config.InForce().Document().Bounds.SpillShare }
+
+// RetryShare returns retries and hedges as a share of requests.
+func (b slotBounds) RetryShare() float64 { return b.config.InForce().Document().Bounds.RetryShare }
+
+// AtRiskShare returns the share of slots for batch work whose deadline is at risk.
+func (b slotBounds) AtRiskShare() float64 { return b.config.InForce().Document().Batch.AtRiskShare }
+
+// slotPeers gives the membership to the slots. The targets controller is built after them, as it fills their pool.
+type slotPeers struct {
+	daemon *Daemon
+}
+
+// Peers returns the daemons that may own targets.
+func (p slotPeers) Peers() []controller.Peer { return p.daemon.targets.Peers() }
+
+// Domain returns the failure domain of a target.
+func (p slotPeers) Domain(target string) (string, bool) { return p.daemon.targets.Domain(target) }
+
+// buildPool returns the pool of targets with the policy of the settings, and adds the controller of slots.
+func (d *Daemon) buildPool() *balance.Pool {
+	b := slotBounds{config: d.config}
+	r := mrand.New(mrand.NewPCG(uint64(time.Now().UnixNano()), 0)) //nolint:gosec // load balancing
+	p := balance.Named(d.settings.Policy)
+
+	var g balance.Granter
+
+	if d.settings.Policy == balance.PolicyOwner || d.settings.Policy == balance.PolicyPowerOfTwo {
+		self := controller.NewPeer(d.settings.VM, d.PeerAddress(), d.settings.FailureDomain, d.settings.Region)
+		s := controller.NewSlots(self, slotPeers{daemon: d}, d.client, b, time.Now, d.settings.Policy != balance.PolicyOwner)
+		g = s
+
+		if err := d.server.Register("Slot", s.Service()); err != nil {
+			d.logger.Error().Err(err).Msg("the slot service cannot be registered")
+		}
+
+		d.actor(s.Run)
+		d.dumps["slots"] = operator.DumpFunc(func() any { return slotDump(s) })
+	}
+
+	return balance.New(p, g, b, d.holder, time.Now, r)
+}
+
+// slotDump returns the loads of the targets that this daemon owns.
+func slotDump(s *controller.Slots) map[string]map[string]int {
+	m := map[string]map[string]int{}
+
+	for t, l := range s.Owned() {
+		m[t] = map[string]int{"online": l.Online(), "batch": l.Batch(), "waiting": l.Waiting(), "limit": l.Limit()}
+	}
+
+	return m
+}
--- a/filter/collector.go
+++ b/filter/collector.go
@@ -17,6 +17,10 @@
 
 // Emit adds an event.
 func (b *Collector) Emit(e Event) error {
+	if e.Kind() == Head && b.head.Kind() == Head {
+		return nil // a resumed answer has a second one
+	}
+
 	b.events = append(b.events, e)
 
 	switch e.Kind() {
--- a/filter/model.go
+++ b/filter/model.go
@@ -106,6 +106,7 @@
 	total      time.Duration
 	tokens     int
 	ok         bool
+	whole      bool
 }
 
 // NewObservation returns an observation. firstToken is the time to the first chunk, perToken the mean time
@@ -126,6 +127,16 @@
 // Tokens returns the number of chunks that came.
 func (o Observation) Tokens() int { return o.tokens }
 
+// WithWhole returns a copy that says whether the whole answer came, so that its size is the size of the work.
+func (o Observation) WithWhole(w bool) Observation {
+	o.whole = w
+
+	return o
+}
+
+// Whole reports whether the whole answer came.
+func (o Observation) Whole() bool { return o.whole }
+
 // OK reports whether the target did its part.
 func (o Observation) OK() bool { return o.ok }
 
--- a/filter/order.go
+++ b/filter/order.go
@@ -10,12 +10,20 @@
 	clock     func() time.Time
 	holder    string
 	wait      time.Duration
+	retries   *Retries
 }
 
 // NewParts returns the parts. holder identifies this daemon in claims; recordWait bounds the time that work
 // waits for the log when its service refuses work during an outage.
 func NewParts(d Directory, c Recorder, r Router, clock func() time.Time, holder string, recordWait time.Duration) Parts {
-	return Parts{directory: d, recorder: c, router: r, clock: clock, holder: holder, wait: recordWait}
+	return Parts{directory: d, recorder: c, router: r, clock: clock, holder: holder, wait: recordWait, retries: NewRetries(nil, 0)}
+}
+
+// WithRetries returns a copy with budgets for retries and hedges. Without it there are only the few of a start.
+func (p Parts) WithRetries(t *Retries) Parts {
+	p.retries = t
+
+	return p
 }
 
 // OnlineChain returns the chain of callers' requests. This is the one place that states the order.
@@ -26,7 +34,7 @@
 		NewAdmit(),
 		NewRecord(p.recorder, p.holder, p.wait),
 		NewRoute(p.router),
-		NewDispatch(p.router, p.clock),
+		NewDispatch(p.router, p.retries, p.clock),
 		NewVerify(),
 	)
 }
@@ -35,7 +43,7 @@
 func BatchChain(p Parts, last Handler) *Chain {
 	return New(last,
 		NewRoute(p.router),
-		NewDispatch(p.router, p.clock),
+		NewDispatch(p.router, p.retries, p.clock),
 		NewVerify(),
 	)
 }
--- a/filter/request.go
+++ b/filter/request.go
@@ -62,6 +62,8 @@
 	next     int
 	claim    string
 	sent     bool
+	prefer   string
+	resumes  bool
 }
 
 // NewRequest returns a request of class Online.
@@ -136,16 +138,30 @@
 // Claim returns the identifier of the claim that won; empty for work without a record.
 func (r *Request) Claim() string { return r.claim }
 
+// Prefer returns the target of an attempt that was preempted, which can resume it; empty if there is none.
+func (r *Request) Prefer() string { return r.prefer }
+
+// Resumes reports whether the attempt goes on with the stream of an earlier one at NextIndex.
+func (r *Request) Resumes() bool { return r.resumes }
+
 // Sent reports whether any bytes of the request may have reached a target.
 func (r *Request) Sent() bool { return r.sent }
 
 // MarkSent records that bytes of the request may have reached a target.
 func (r *Request) MarkSent() { r.sent = true }
 
-// ForAttempt returns a copy that is sent to the target of s as attempt n.
+// ForAttempt returns a copy that is sent to the target of s as attempt n, from the start.
 func (r *Request) ForAttempt(s Slot, n int) *Request {
 	c := *r
-	c.slot, c.attempt, c.sent = s, n, false
+	c.slot, c.attempt, c.sent, c.next, c.resumes = s, n, false, 0, false
 
 	return &c
 }
+
+// forResume returns a copy that goes on at a token position at the target of s.
+func (r *Request) forResume(s Slot, n, next int) *Request {
+	c := r.ForAttempt(s, n)
+	c.next, c.resumes = next, true
+
+	return c
+}
--- a/filter/route.go
+++ b/filter/route.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/agategap/agategap/outcome"
 )
 
 // Router chooses targets.
@@ -24,7 +27,7 @@
 
 // Apply passes the request on with a slot. Dispatch releases it.
 func (f *Route) Apply(ctx context.Context, r *Request, s Sink, next Handler) error {
-	t, err := f.router.Acquire(ctx, r, nil)
+	t, err := acquire(ctx, f.router, r, nil)
 	if err != nil {
 		return err
 	}
@@ -33,3 +36,32 @@
 
 	return next.Handle(ctx, r, s)
 }
+
+// NoSlot reports whether an error of a Router means that there is no slot at present.
+func NoSlot(err error) bool {
+	return outcome.Is(err, outcome.Overloaded) || outcome.Is(err, outcome.NoTarget)
+}
+
+const (
+	// leastPause and mostPause bound the time after which batch work asks again.
+	leastPause = 20 * time.Millisecond
+	mostPause  = time.Second
+)
+
+// acquire asks the router for a slot. Batch work waits as long as it takes: being refused a slot is no attempt of an
+// item.
+func acquire(ctx context.Context, t Router, r *Request, exclude []string) (Slot, error) {
+	for {
+		s, err := t.Acquire(ctx, r, exclude)
+		if err == nil || r.Class() != Batch || !NoSlot(err) {
+			return s, err
+		}
+
+		select {
+		case <-time.After(min(mostPause, max(leastPause, outcome.From(err).RetryAfter()))):
+			exclude = nil
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
--- /dev/null
+++ b/sched/limit.go
@@ -0,0 +1,105 @@
+package sched
+
+import "time"
+
+const (
+	startLimit = 16
+	minLimit   = 2
+	maxLimit   = 512
+
+	// smoothing is the weight of a new observation, about the last ten count.
+	smoothing = 0.2
+	// slowFactor is how much slower than its best a target's tokens may come before the limit falls. A full batch of a
+	// healthy engine is up to about twice as slow as a single stream.
+	slowFactor = 3
+	// queueFactor and queueSlack bound the time to the first token relative to the best. Above them the target has
+	// queued the request, so the limit is above what it runs at a time.
+	queueFactor = 3
+	queueSlack  = 15 * time.Millisecond
+	// cutInterval is the shortest time between two cuts, so that the effect of one is seen before the next.
+	cutInterval = 200 * time.Millisecond
+	slowCut     = 0.7
+	queueCut    = 0.9
+	// ceilingFor is how long the limit stays below the value at which the target began to queue.
+	ceilingFor = 10 * time.Second
+	// bestDrift lets the best times forget a target's faster past within minutes.
+	bestDrift = 1.0005
+)
+
+// Limit adapts the number of requests at a target to the times that it shows. The load report of a target lags and
+// plays no part. It is not safe for concurrent use.
+type Limit struct {
+	value, ceiling       float64
+	ceilingUntil, cutAt  time.Time
+	first, per           float64
+	bestFirst, bestToken float64
+	startup              bool
+}
+
+// NewLimit returns the limit of a target of which nothing is known.
+func NewLimit() Limit { return Limit{value: startLimit, startup: true} }
+
+// Value returns the limit.
+func (l *Limit) Value() int { return int(l.value) }
+
+// Estimate returns the time that work of a number of tokens takes once it has a slot; 0 if unknown.
+func (l *Limit) Estimate(tokens int) time.Duration {
+	return time.Duration(l.first + l.per*float64(max(0, tokens-1)))
+}
+
+// Observe takes the observation of a request that ended while inUse slots were in use.
+func (l *Limit) Observe(now time.Time, o Observation, inUse int) {
+	if o.first > 0 {
+		l.first, l.bestFirst = track(l.first, l.bestFirst, float64(o.first))
+	}
+
+	if o.per > 0 {
+		l.per, l.bestToken = track(l.per, l.bestToken, float64(o.per))
+	}
+
+	switch {
+	case !o.ok || l.per > slowFactor*l.bestToken:
+		l.cut(now, slowCut)
+	case float64(o.first) > max(queueFactor*l.bestFirst, l.bestFirst+float64(queueSlack)) && float64(inUse) >= l.value/2:
+		l.ceiling, l.ceilingUntil = l.value*queueCut, now.Add(ceilingFor)
+		l.startup = false
+		l.cut(now, queueCut)
+	case float64(inUse+1) >= l.value && o.first > 0:
+		l.grow(now)
+	}
+}
+
+func (l *Limit) cut(now time.Time, factor float64) {
+	if now.Sub(l.cutAt) < cutInterval {
+		return
+	}
+
+	l.cutAt = now
+	l.value = max(minLimit, l.value*factor)
+}
+
+// grow adds one for each observation until the target first queues, and then one for each round of observations.
+func (l *Limit) grow(now time.Time) {
+	step := 1 / l.value
+	if l.startup {
+		step = 1
+	}
+
+	most := float64(maxLimit)
+	if now.Before(l.ceilingUntil) {
+		most = max(minLimit, l.ceiling)
+	}
+
+	l.value = max(l.value, min(most, l.value+step))
+}
+
+// track returns the smoothed value and the best value.
+func track(mean, best, v float64) (float64, float64) {
+	if mean == 0 {
+		return v, v
+	}
+
+	mean += smoothing * (v - mean)
+
+	return mean, min(best*bestDrift, mean)
+}
--- /dev/null
+++ b/sched/queue_test.go
@@ -0,0 +1,401 @@
+package sched_test
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/agategap/agategap/sched"
+)
+
+const ttl = 3 * time.Second
+
+var start = time.Unix(1_000_000, 0)
+
+// owner is a model of the holders of one queue's grants.
+type owner struct {
+	queue   *sched.Queue
+	now     time.Time
+	waiting map[sched.GrantID]sched.Demand
+	held    map[sched.GrantID]sched.Demand
+	ended   map[sched.GrantID]bool
+	early   map[sched.GrantID]bool // batch grants given while short online work waited
+	most    int                    // bound on them
+	n       int
+}
+
+func newOwner(limit int, atRisk float64) *owner {
+	return &owner{
+		queue: sched.NewQueue(sched.NewSettings(ttl, atRisk).WithFixedLimit(limit)), now: start,
+		waiting: map[sched.GrantID]sched.Demand{}, held: map[sched.GrantID]sched.Demand{}, ended: map[sched.GrantID]bool{}, early: map[sched.GrantID]bool{}, most: int(math.Ceil(atRisk * float64(limit))),
+	}
+}
+
+// apply checks the actions against the model. preempt takes the slots that must be given back.
+func (o *owner) apply(t failer, a []sched.Action) (preempt []sched.GrantID) {
+	for _, v := range a {
+		d, waits := o.waiting[v.ID()]
+
+		switch v.Kind() {
+		case sched.Grant:
+			if !waits {
+				t.Fatalf("%s was granted and does not wait", v.ID())
+			}
+
+			delete(o.waiting, v.ID())
+			o.held[v.ID()] = d
+			o.checkShare(t, d)
+		case sched.Reject:
+			if !waits {
+				t.Fatalf("%s was rejected and does not wait", v.ID())
+			}
+
+			delete(o.waiting, v.ID())
+			o.ended[v.ID()] = true
+		case sched.Preempt:
+			if h, ok := o.held[v.ID()]; !ok || h.Class() != sched.Batch {
+				t.Fatalf("%s was preempted and is no batch grant", v.ID())
+			}
+
+			preempt = append(preempt, v.ID())
+		}
+	}
+
+	return preempt
+}
+
+// checkShare checks that batch work is not granted before short online work beyond the share of work at risk.
+func (o *owner) checkShare(t failer, d sched.Demand) {
+	if d.Class() != sched.Batch {
+		return
+	}
+
+	for _, w := range o.waiting {
+		if w.Class() == sched.Online && !w.Long() {
+			o.early[d.ID()] = true
+		}
+	}
+
+	if len(o.early) > o.most || o.early[d.ID()] && d.Deadline().IsZero() {
+		t.Fatalf("%d batch grants were given while online work waits; the share allows %d", len(o.early), o.most)
+	}
+}
+
+func (o *owner) request(t failer, d sched.Demand) []sched.GrantID {
+	o.waiting[d.ID()] = d
+
+	return o.apply(t, o.queue.Request(o.now, d))
+}
+
+func (o *owner) release(t failer, id sched.GrantID) []sched.GrantID {
+	delete(o.held, id)
+	delete(o.early, id)
+	o.ended[id] = true
+
+	return o.apply(t, o.queue.Release(o.now, id, sched.NewObservation(0, 0, 10*time.Millisecond, 1, true)))
+}
+
+// some returns a grant, always the same of a set.
+func (o *owner) some() (sched.GrantID, bool) {
+	if len(o.held) == 0 {
+		return "", false
+	}
+
+	return slices.Min(slices.Collect(maps.Keys(o.held))), true
+}
+
+func (o *owner) id() sched.GrantID {
+	o.n++
+
+	return sched.GrantID(fmt.Sprint(o.n))
+}
+
+type failer interface {
+	Fatalf(format string, args ...any)
+}
+
+// Guards against a queue that grants above the limit, grants batch work before online work, or loses a demand.
+func TestQueueProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(1, 12).Draw(t, "limit")
+		o := newOwner(limit, rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "at_risk_share"))
+
+		var back []sched.GrantID
+
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			o.now = o.now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+
+			switch rapid.IntRange(0, 3).Draw(t, "op") {
+			case 0, 1:
+				back = append(back, o.request(t, draw(t, o))...)
+			case 2:
+				if id, ok := o.some(); ok {
+					back = append(back, o.release(t, id)...)
+				}
+			case 3:
+				back = append(back, o.apply(t, o.queue.Tick(o.now))...)
+			}
+
+			// Holders give preempted slots back at some time, and renew the others.
+			if len(back) > 0 && rapid.Bool().Draw(t, "give_back") {
+				id := back[0]
+				back = back[1:]
+
+				if _, ok := o.held[id]; ok {
+					back = append(back, o.release(t, id)...)
+				}
+			}
+
+			for _, id := range slices.Sorted(maps.Keys(o.held)) {
+				back = append(back, o.apply(t, o.queue.Renew(o.now, o.held[id]))...)
+			}
+
+			if l := o.queue.Load(); len(o.held) > limit || l.Online()+l.Batch() != len(o.held) {
+				t.Fatalf("%d grants at a limit of %d; the queue counts %d", len(o.held), limit, l.Online()+l.Batch())
+			}
+		}
+
+		o.finish(t)
+	})
+}
+
+func draw(t *rapid.T, o *owner) sched.Demand {
+	c := rapid.SampledFrom([]sched.Class{sched.Online, sched.Batch}).Draw(t, "class")
+	d := time.Time{}
+
+	if c == sched.Online || rapid.Bool().Draw(t, "at_risk") {
+		d = o.now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "deadline")) * time.Millisecond)
+	}
+
+	a := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account")
+
+	return sched.NewDemand(o.id(), "vm-1", a, c, d).WithSize(8, c == sched.Online && rapid.Bool().Draw(t, "long"))
+}
+
+// finish releases every grant until each demand ended. The number of rounds is bounded.
+func (o *owner) finish(t failer) {
+	for i := 0; len(o.held)+len(o.waiting) > 0; i++ {
+		if i > 10_000 {
+			t.Fatalf("%d demands never end", len(o.waiting))
+		}
+
+		o.now = o.now.Add(time.Millisecond)
+
+		if id, ok := o.some(); ok {
+			o.release(t, id)
+		}
+
+		if len(o.held) == 0 {
+			o.apply(t, o.queue.Tick(o.now))
+		}
+	}
+
+	if len(o.ended) != o.n || !o.queue.Idle() {
+		t.Fatalf("%d of %d demands ended", len(o.ended), o.n)
+	}
+}
+
+// Guards against short work that waits while long work takes every free slot.
+func TestShortWorkDoesNotStarve(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(2, 16).Draw(t, "limit")
+		o := newOwner(limit, 0)
+
+		for range rapid.IntRange(1, 60).Draw(t, "long") {
+			o.request(t, sched.NewDemand(o.id(), "vm-1", "a", sched.Online, o.now.Add(time.Hour)).WithSize(500, true))
+		}
+
+		d := sched.NewDemand(o.id(), "vm-1", "a", sched.Online, o.now.Add(2*time.Hour)).WithSize(10, false)
+		o.request(t, d)
+
+		if _, ok := o.held[d.ID()]; !ok {
+			t.Fatalf("short work waits behind %d pieces of long work", len(o.held))
+		}
+	})
+}
+
+// Guards against a burst that waits for batch work, and against batch work that loses more slots than the burst needs.
+func TestBurstPreemptsWhatItNeeds(t *testing.T) {
+	Convey("Given batch work in every slot", t, func() {
+		o := newOwner(8, 0)
+		for range 8 {
+			o.request(t, sched.NewDemand(o.id(), "vm-1", "a", sched.Batch, time.Time{}))
+		}
+
+		So(o.held, ShouldHaveLength, 8)
+
+		var back []sched.GrantID
+		for range 3 {
+			back = append(back, o.request(t, sched.NewDemand(o.id(), "vm-2", "b", sched.Online, o.now.Add(time.Second)))...)
+		}
+
+		So(back, ShouldHaveLength, 3)
+
+		for _, id := range back {
+			o.release(t, id)
+		}
+
+		So(o.waiting, ShouldBeEmpty)
+		So(o.queue.Load(), ShouldResemble, sched.NewLoad(3, 5, 0, 8))
+	})
+}
+
+// Guards against batch work at risk that takes more than its share from online work.
+func TestBatchAtRiskHasABoundedShare(t *testing.T) {
+	Convey("Given online work in every slot and batch work at risk that waits", t, func() {
+		o := newOwner(10, 0.2)
+		var back []sched.GrantID
+
+		for range 20 {
+			back = append(back, o.request(t, sched.NewDemand(o.id(), "vm-1", "a", sched.Online, o.now.Add(time.Minute)))...)
+			back = append(back, o.request(t, sched.NewDemand(o.id(), "vm-1", "b", sched.Batch, o.now.Add(10*time.Second)))...)
+		}
+
+		for len(back) > 0 {
+			id := back[0]
+			back = append(back[1:], o.release(t, id)...)
+		}
+
+		So(o.queue.Load(), ShouldResemble, sched.NewLoad(8, 2, 12, 10))
+	})
+}
+
+// Guards against slots that never return when the daemon that holds them dies.
+func TestGrantsExpire(t *testing.T) {
+	Convey("Given a holder that died and one that renews", t, func() {
+		o := newOwner(2, 0)
+		dead := sched.NewDemand(o.id(), "vm-1", "a", sched.Online, o.now.Add(time.Minute))
+		live := sched.NewDemand(o.id(), "vm-2", "a", sched.Online, o.now.Add(time.Minute))
+		o.request(t, dead)
+		o.request(t, live)
+
+		o.now = o.now.Add(ttl - time.Second)
+		o.queue.Renew(o.now, live)
+
+		o.now = o.now.Add(2 * time.Second)
+		o.queue.Tick(o.now)
+		So(o.queue.Load().Online(), ShouldEqual, 1)
+	})
+}
+
+// Guards against a new owner that grants slots which are in use.
+func TestNewOwnerStartsWithReportedSlots(t *testing.T) {
+	Convey("Given slots that requesters report to a new owner", t, func() {
+		o := newOwner(2, 0)
+		for range 2 {
+			d := sched.NewDemand(o.id(), "vm-1", "a", sched.Online, o.now.Add(time.Minute))
+			So(o.queue.Renew(o.now, d), ShouldBeEmpty)
+		}
+
+		d := sched.NewDemand(o.id(), "vm-1", "a", sched.Online, o.now.Add(time.Minute))
+		o.request(t, d)
+		So(o.held, ShouldBeEmpty)
+		So(o.waiting, ShouldHaveLength, 1)
+	})
+}
+
+// Guards against one account that floods a target and leaves no slot to another.
+func TestFloodingAccountLeavesFairShare(t *testing.T) {
+	Convey("Given an account with many demands and one with few later ones", t, func() {
+		o := newOwner(4, 0)
+		for range 100 {
+			o.request(t, sched.NewDemand(o.id(), "vm-1", "flood", sched.Online, o.now.Add(time.Second)))
+		}
+
+		few := sched.NewDemand(o.id(), "vm-1", "few", sched.Online, o.now.Add(time.Minute))
+		o.request(t, few)
+
+		id, _ := o.some()
+		o.release(t, id)
+
+		_, ok := o.held[few.ID()]
+		So(ok, ShouldBeTrue)
+	})
+}
+
+// Guards against goodput that collapses at overload because slots go to work that ends too late.
+func TestHopelessDemandsAreRejectedEarly(t *testing.T) {
+	Convey("Given a full target whose work takes 100 ms", t, func() {
+		q := sched.NewQueue(sched.NewSettings(ttl, 0).WithFixedLimit(1))
+		ask := func(now time.Time, id sched.GrantID, left time.Duration) []sched.Action {
+			return q.Request(now, sched.NewDemand(id, "vm-1", "a", sched.Online, now.Add(left)))
+		}
+
+		ask(start, "first", time.Second)
+		q.Release(start.Add(100*time.Millisecond), "first", sched.NewObservation(50*time.Millisecond, 0, 100*time.Millisecond, 1, true))
+		ask(start, "second", time.Second)
+
+		a := ask(start, "third", 120*time.Millisecond)
+		So(a, ShouldHaveLength, 1)
+		So(a[0].Kind(), ShouldEqual, sched.Reject)
+		So(a[0].RetryAfter(), ShouldBeGreaterThan, 0)
+		So(ask(start, "fourth", time.Second), ShouldBeEmpty)
+	})
+}
+
+// Guards against a limit that stays up while a target queues or slows down, and one that never comes back.
+func TestLimitFollowsObservedTimes(t *testing.T) {
+	Convey("Given a healthy target at its limit", t, func() {
+		l := sched.NewLimit()
+		now := start
+		observe := func(first, per time.Duration) {
+			now = now.Add(50 * time.Millisecond)
+			l.Observe(now, sched.NewObservation(first, per, time.Second, 20, true), l.Value())
+		}
+
+		for range 10 {
+			observe(5*time.Millisecond, 2*time.Millisecond)
+		}
+
+		high := l.Value()
+		So(high, ShouldBeGreaterThan, 16)
+
+		Convey("a target that slows down ten times loses slots and gets them back", func() {
+			for range 40 {
+				observe(50*time.Millisecond, 20*time.Millisecond)
+			}
+
+			So(l.Value(), ShouldBeLessThan, high/2)
+
+			for range 2000 {
+				observe(5*time.Millisecond, 2*time.Millisecond)
+			}
+
+			So(l.Value(), ShouldBeGreaterThanOrEqualTo, high)
+		})
+		Convey("a target that queues requests loses slots", func() {
+			for range 40 {
+				observe(100*time.Millisecond, 2*time.Millisecond)
+			}
+
+			So(l.Value(), ShouldBeLessThan, high)
+		})
+	})
+}
+
+// Guards against long work that is not told from short work.
+func TestSizesPredictLongWork(t *testing.T) {
+	Convey("Given a service with 5% of its work 50 times as long", t, func() {
+		var s sched.Sizes
+
+		for i := range 1000 {
+			if i%20 == 0 {
+				s.Observe("signwriter", 40, 2000, 1000)
+			} else {
+				s.Observe("signwriter", 40, 32, 20)
+			}
+		}
+
+		_, long := s.Predict("signwriter", 40, 32)
+		So(long, ShouldBeFalse)
+		n, long := s.Predict("signwriter", 40, 2000)
+		So(n, ShouldEqual, 1000)
+		So(long, ShouldBeTrue)
+	})
+}
--- a/target/stream.go
+++ b/target/stream.go
@@ -46,9 +46,14 @@
 	}
 
 	from := -1
+	if r.Resumes() {
+		from = r.NextIndex()
+	}
+
+	var last chunk // a resumed stream may have nothing left but the end marker
 
 	for n := 0; ; n++ {
-		err := c.streamOnce(ctx, r, s, b, from)
+		err := c.streamOnce(ctx, r, s, b, from, &last)
 		if err == nil {
 			return nil
 		}
@@ -60,6 +65,11 @@
 		}
 
 		if n == maxResumes || !resumable(err) {
+			// The engine would go on generating an answer that nobody reads.
+			if r.Sent() && !outcome.Is(err, outcome.InvalidRequest) {
+				go c.cancel(ctx, r)
+			}
+
 			return err
 		}
 
@@ -93,7 +103,7 @@
 	return outcome.Is(err, outcome.LostAnswer) || outcome.Is(err, outcome.IncompleteAnswer)
 }
 
-func (c *Client) streamOnce(ctx context.Context, r *filter.Request, s filter.Sink, body []byte, from int) error {
+func (c *Client) streamOnce(ctx context.Context, r *filter.Request, s filter.Sink, body []byte, from int, last *chunk) error {
 	x, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 
@@ -118,7 +128,9 @@
 		return err
 	}
 
-	return silent(ctx, x, c.read(ctx, r, a.Body, s, idle))
+	last.ID = a.Header.Get(requestIDHeader)
+
+	return silent(ctx, x, c.read(ctx, r, a.Body, s, idle, last))
 }
 
 // firstTokenBound bounds the wait for the first chunk, which includes the target's queue.
@@ -146,12 +158,10 @@
 const maxChunkBytes = 1 << 20
 
 // read turns the lines of a stream into events.
-func (c *Client) read(ctx context.Context, r *filter.Request, b io.Reader, s filter.Sink, idle *time.Timer) error {
+func (c *Client) read(ctx context.Context, r *filter.Request, b io.Reader, s filter.Sink, idle *time.Timer, last *chunk) error {
 	l := bufio.NewScanner(b)
 	l.Buffer(make([]byte, 0, 4096), maxChunkBytes) //nolint:mnd // start size
 
-	var last chunk
-
 	for l.Scan() {
 		idle.Reset(r.Service().IdleBound())
 
@@ -162,7 +172,7 @@
 
 		p = bytes.TrimSpace(p)
 		if bytes.Equal(p, doneMarker) {
-			return s.Emit(filter.NewEnd(last.ID, finish(last), last.Usage.PromptTokens, last.Usage.CompletionTokens))
+			return s.Emit(filter.NewEnd(last.ID, finish(*last), last.Usage.PromptTokens, last.Usage.CompletionTokens))
 		}
 
 		var v chunk
@@ -170,7 +180,7 @@
 			return outcome.New(outcome.IncompleteAnswer, outcome.Unknown, "the target sent a chunk that is not JSON").WithCause(err)
 		}
 
-		last = v
+		*last = v
 
 		if err := s.Emit(filter.NewChunk(v.ID, v.TokenIndex, bytes.Clone(p), text(v))); err != nil {
 			return err
