--- /dev/null
+++ b/balance/pool_test.go
@@ -0,0 +1,256 @@
+package balance_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/agategap/agategap/balance"
+	"github.com/agategap/agategap/filter"
+	"github.com/agategap/agategap/outcome"
+	"github.com/agategap/agategap/sched"
+)
+
+type shares struct{ slow, spill float64 }
+
+func (s shares) SlowShare() float64  { return s.slow }
+func (s shares) SpillShare() float64 { return s.spill }
+
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func targets(prefix string, n int) []filter.Target {
+	var l []filter.Target
+	for i := range n {
+		l = append(l, filter.NewTarget(fmt.Sprintf("%s-%d", prefix, i), "127.0.0.1:1"))
+	}
+
+	return l
+}
+
+func request(prompt string) *filter.Request {
+	return filter.NewRequest(filter.Input{Service: "m", Prompt: prompt})
+}
+
+const ms = time.Millisecond
+
+func fast(whole bool) filter.Observation {
+	return filter.NewObservation(5*ms, 2*ms, 45*ms, 20, true).WithWhole(whole)
+}
+
+func slow() filter.Observation { return filter.NewObservation(50*ms, 20*ms, 450*ms, 20, true) }
+
+// Guards against a policy that picks outside its candidates, or the worse of two.
+func TestPoliciesPickCandidates(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var c []balance.Candidate
+
+		for i := range rapid.IntRange(1, 30).Draw(t, "candidates") {
+			c = append(c, balance.NewCandidate(fmt.Sprint(i), rapid.IntRange(0, 50).Draw(t, "in_flight")).
+				WithLoad(sched.NewLoad(rapid.IntRange(0, 50).Draw(t, "online"), 0, 0, 16)).
+				WithWeight(rapid.Float64Range(0, 1).Draw(t, "weight")))
+		}
+
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		for _, p := range []string{"round_robin", "least_loaded", "power_of_two", "owner"} {
+			if i := balance.Named(p).Pick(r, c); i < 0 || i >= len(c) {
+				t.Fatalf("%s picked %d of %d", p, i, len(c))
+			}
+		}
+
+		i := balance.Named("least_loaded").Pick(r, c)
+		for _, v := range c {
+			if v.InFlight() < c[i].InFlight() {
+				t.Fatal("least_loaded picked a target with more requests than another")
+			}
+		}
+	})
+}
+
+// Guards against a slow target that keeps its share of requests, and against more targets out of rotation than allowed.
+func TestSlowTargetsAreSetAsideWithinTheCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 20).Draw(t, "targets")
+		bad := rapid.IntRange(0, n).Draw(t, "slow")
+		share := rapid.SampledFrom([]float64{0, 0.2, 0.5}).Draw(t, "slow_share")
+		c := &clock{now: time.Unix(1000, 0)}
+		p := balance.New(&balance.RoundRobin{}, nil, shares{slow: share}, "vm", c.Now, random())
+		p.Set("m", targets("t", n))
+
+		names := map[string]bool{}
+
+		for i := range 40 * n {
+			s, err := p.Acquire(context.Background(), request(""), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			var k int
+
+			_, _ = fmt.Sscanf(s.Target().Name(), "t-%d", &k)
+
+			if k < bad && i > n {
+				s.Release(slow())
+			} else {
+				s.Release(fast(true))
+			}
+
+			if i > 30*n {
+				names[s.Target().Name()] = true
+			}
+		}
+
+		if out := n - len(names); out > int(share*float64(n)) {
+			t.Fatalf("%d of %d targets are out of rotation at a share of %g", out, n, share)
+		}
+
+		if least := min(bad, int(share*float64(n))); 2*bad < n && n-len(names) < least {
+			t.Fatalf("%d targets are out of rotation; %d of %d are slow", n-len(names), bad, n)
+		}
+	})
+}
+
+// Guards against a target that stays out of rotation after it is fast again.
+func TestProbeReturnsATarget(t *testing.T) {
+	Convey("Given a target that is set aside", t, func() {
+		c := &clock{now: time.Unix(1000, 0)}
+		p := balance.New(&balance.RoundRobin{}, nil, shares{slow: 0.3}, "vm", c.Now, random())
+		p.Set("m", targets("t", 5))
+
+		use := func(n int, slowNow bool) map[string]int {
+			m := map[string]int{}
+
+			for range n {
+				s, err := p.Acquire(context.Background(), request(""), nil)
+				So(err, ShouldBeNil)
+
+				m[s.Target().Name()]++
+
+				if slowNow && s.Target().Name() == "t-0" {
+					s.Release(slow())
+				} else {
+					s.Release(fast(true))
+				}
+			}
+
+			return m
+		}
+
+		use(20, false)
+		use(50, true)
+		So(use(50, true)["t-0"], ShouldEqual, 0)
+
+		c.now = c.now.Add(600 * ms)
+		So(use(50, true)["t-0"], ShouldEqual, 1)
+		So(use(50, true)["t-0"], ShouldEqual, 0)
+
+		c.now = c.now.Add(5 * time.Second)
+		So(use(50, false)["t-0"], ShouldBeGreaterThanOrEqualTo, 9)
+	})
+}
+
+// Guards against prefixes that move between targets, and against a popular prefix that overloads its target.
+func TestPrefixAffinityIsBounded(t *testing.T) {
+	Convey("Given requests with the same long prefix", t, func() {
+		p := balance.New(balance.LeastLoaded{}, nil, shares{}, "vm", time.Now, random())
+		p.Set("m", targets("t", 5))
+
+		prompt := strings.Repeat("You write signs. ", 30)
+
+		Convey("they prefer one target", func() {
+			names := map[string]bool{}
+
+			for i := range 20 {
+				s, err := p.Acquire(context.Background(), request(prompt+fmt.Sprint(i)), nil)
+				So(err, ShouldBeNil)
+
+				names[s.Target().Name()] = true
+				s.Release(fast(true))
+			}
+
+			So(names, ShouldHaveLength, 1)
+		})
+		Convey("they spread when they are many at a time", func() {
+			n := map[string]int{}
+
+			for i := range 100 {
+				s, err := p.Acquire(context.Background(), request(prompt+fmt.Sprint(i)), nil)
+				So(err, ShouldBeNil)
+
+				n[s.Target().Name()]++
+			}
+
+			for _, v := range n {
+				So(v, ShouldBeLessThanOrEqualTo, 27)
+			}
+		})
+	})
+}
+
+// busy rejects demands for the targets of this failure domain.
+type busy struct{}
+
+type permit struct{}
+
+func (permit) Release(sched.Observation)  {}
+func (permit) Preempted() <-chan struct{} { return nil }
+
+func (busy) Load(string) sched.Load { return sched.Load{} }
+
+func (busy) Acquire(_ context.Context, target string, _ sched.Demand) (balance.Permit, error) {
+	if strings.HasPrefix(target, "far") {
+		return permit{}, nil
+	}
+
+	return nil, outcome.New(outcome.Overloaded, outcome.NotRun, "busy").WithRetryAfter(time.Second)
+}
+
+// Guards against a failure domain that sends more than the spill share elsewhere when it is short of capacity.
+func TestSpillIsBounded(t *testing.T) {
+	Convey("Given a failure domain without free slots and another with some", t, func() {
+		p := balance.New(balance.Owner{}, busy{}, shares{spill: 0.2}, "vm", time.Now, random())
+		p.Set("m", targets("near", 3))
+		p.SetRemote("m", targets("far", 3))
+
+		n := 0
+
+		for range 1000 {
+			s, err := p.Acquire(context.Background(), request(""), nil)
+			if err == nil {
+				n++
+				s.Release(fast(true))
+
+				continue
+			}
+
+			So(outcome.From(err).RetryAfter(), ShouldBeGreaterThan, 0)
+		}
+
+		So(n, ShouldBeBetweenOrEqual, 190, 210)
+
+		Convey("batch work stays", func() {
+			r := filter.NewBatchRequest(filter.Input{Service: "m"}, filter.Account{}, filter.Service{}, time.Time{})
+			_, err := p.Acquire(context.Background(), r, nil)
+			So(outcome.Is(err, outcome.Overloaded), ShouldBeTrue)
+		})
+	})
+}
+
+func ExamplePool() {
+	p := balance.New(balance.LeastLoaded{}, nil, shares{}, "vm-1", time.Now, random())
+	p.Set("signwriter", []filter.Target{filter.NewTarget("worker-1", "10.0.0.1:8000")})
+
+	s, err := p.Acquire(context.Background(), filter.NewRequest(filter.Input{Service: "signwriter"}), nil)
+	fmt.Println(s.Target().Name(), err)
+	s.Release(filter.NewObservation(5*ms, 2*ms, 45*ms, 20, true))
+	// Output: worker-1 <nil>
+}
--- a/controller/slot_holder.go
+++ b/controller/slot_holder.go
@@ -306,16 +306,21 @@
 	x, stop := context.WithTimeout(context.Background(), ownWait+answerBound)
 	defer stop()
 
-	var r remoteAnswer
+	var r sched.AcquireReply
 
 	a := sched.AcquireArgs{Target: target, Demand: heldMessage(target, d, s.clock()), WaitUS: d.MaxWait().Microseconds()}
+	if d.MaxWait() < 0 {
+		a.WaitUS = -1 // a shorter time would count as no bound
+	}
 
-	r.err = s.caller.Call(x, address, "Slot.Acquire", a, &r.reply)
-	if r.err == nil {
-		s.note(target, r.reply.Load)
+	// After an error the reply may still be written to.
+	if err := s.caller.Call(x, address, "Slot.Acquire", a, &r); err != nil {
+		return remoteAnswer{err: err}
 	}
 
-	return r
+	s.note(target, r.Load)
+
+	return remoteAnswer{reply: r}
 }
 
 // withdraw gives up a demand whose answer is not waited for, whether it waits at the owner or was granted.
