--- a/daemon/work.go
+++ b/daemon/work.go
@@ -33,7 +33,8 @@
 
 	j := controller.NewJournal(routes, journals, d.store, d.metrics)
 	look := target.NewLookup(c, d.targets)
-	p := filter.NewParts(d.config, j, r, time.Now, d.holder, recordWait).WithLookup(look)
+	p := filter.NewParts(d.config, j, r, time.Now, d.holder, recordWait).WithLookup(look).
+		WithRetries(filter.NewRetries(slotBounds{config: d.config}, uint64(time.Now().UnixNano()))) //nolint:gosec // spreads retries
 	jobs := controller.NewJobs(j, routes, grants, d.config)
 	runner := controller.NewRunner(controller.NewRunnerParts(
 		jobs, filter.BatchChain(p, c), look, d.holder, d.settings.FailureDomain, time.Now, d.metrics, d.logger))
--- a/store/cell.go
+++ b/store/cell.go
@@ -248,6 +248,7 @@
 func (s *Store) follow(ctx context.Context, c *cell, ready chan<- struct{}) {
 	restart, first := true, true
 	delay := retryDelay
+	wait := time.Duration(0) // the first read of an empty partition must not hold up the first append
 
 	for ctx.Err() == nil {
 		if restart {
@@ -262,7 +263,7 @@
 
 		from := c.part.Offset() + 1
 
-		g, err := s.log.Read(ctx, c.name, from, readWait)
+		g, err := s.log.Read(ctx, c.name, from, wait)
 		if errors.Is(err, stream.ErrDropped) || err == nil && g.Oldest() > from {
 			restart = true
 
@@ -284,7 +285,7 @@
 		delay = retryDelay
 
 		if first {
-			first = false
+			first, wait = false, readWait
 
 			close(ready)
 		}
