--- a/controller/config.go
+++ b/controller/config.go
@@ -110,7 +110,7 @@
 const republishShare = 4
 
 func (c *Config) due() bool {
-	return c.republish != nil && !c.carried.IsZero() && c.clock().Sub(c.carried) >= c.retention/republishShare && c.republish.Elected()
+	return c.republish != nil && c.retention > 0 && !c.carried.IsZero() && c.clock().Sub(c.carried) >= c.retention/republishShare && c.republish.Elected()
 }
 
 func (c *Config) restate(ctx context.Context) {
--- a/store/cell.go
+++ b/store/cell.go
@@ -262,7 +262,13 @@
 
 		from := c.part.Offset() + 1
 
-		g, err := s.log.Read(ctx, c.name, from, readWait)
+		// The first read does not wait for a record, as appends wait for it.
+		wait := readWait
+		if first {
+			wait = 0
+		}
+
+		g, err := s.log.Read(ctx, c.name, from, wait)
 		if errors.Is(err, stream.ErrDropped) || err == nil && g.Oldest() > from {
 			restart = true
 
