--- /dev/null
+++ b/appender/appender_test.go
@@ -0,0 +1,133 @@
+package appender_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agategap/agategap/appender"
+	"github.com/agategap/agategap/journal"
+)
+
+var now = time.UnixMilli(0)
+
+func record() journal.Record { return journal.Record{Release: &journal.Release{}} }
+
+// Guards against an append rate above the partition's share, and against a delay while the rate is not used up.
+func TestGroupsGrowWhenTheRateIsUsedUp(t *testing.T) {
+	Convey("Given a queue with 10 appends a second and a burst of 2", t, func() {
+		q := appender.New("vm", appender.NewLimits(0, 0, 100*time.Millisecond).WithBurst(2))
+
+		for n := range 2 {
+			q.Add(1, record())
+
+			g, ok, _ := q.Next(now, 0, n > 0)
+			So(ok, ShouldBeTrue)
+			So(g.Records, ShouldHaveLength, 1)
+			q.Confirmed(int64(n + 1))
+			q.Replayed(g.Number, int64(n+1), g.Number)
+		}
+
+		q.Add(1, record())
+
+		_, ok, at := q.Next(now, 0, true)
+		So(ok, ShouldBeFalse)
+		So(at.Sub(now), ShouldEqual, 100*time.Millisecond)
+
+		q.Add(1, record())
+
+		g, ok, _ := q.Next(at, 0, true)
+		So(ok, ShouldBeTrue)
+		So(g.Records, ShouldHaveLength, 2)
+	})
+}
+
+// Guards against one record that the log never takes and that blocks everything behind it.
+func TestRejectedRecordDoesNotBlockTheQueue(t *testing.T) {
+	Convey("Given a group with a record that is too large", t, func() {
+		q := appender.New("vm", appender.Limits{})
+		bad := q.Add(1, record(), record(), record())
+		good := q.Add(1, record())
+
+		_, ok, _ := q.Next(now, 0, false)
+		So(ok, ShouldBeTrue)
+		So(q.Rejected(now), ShouldBeEmpty)
+
+		later := now.Add(time.Minute)
+		g, _, _ := q.Next(later, 0, false)
+		So(g.Records, ShouldHaveLength, 3)
+
+		r := q.Rejected(later)
+		So(r, ShouldHaveLength, 1)
+		So(r[0].Ticket(), ShouldEqual, bad)
+		So(r[0].State(), ShouldEqual, appender.Rejected)
+
+		g, _, _ = q.Next(later.Add(time.Minute), 0, false)
+		So(g.Number, ShouldEqual, 1)
+
+		r = q.Replayed(1, 7, 1)
+		So(r, ShouldHaveLength, 1)
+		So(r[0].Ticket(), ShouldEqual, good)
+		So(r[0].Offset(), ShouldEqual, 7)
+		So(q.Pending(), ShouldEqual, 0)
+		So(q.Weight(), ShouldEqual, 0)
+	})
+}
+
+// Guards against records of a writer that readers have forgotten: they are ignored although the log confirmed them.
+func TestIgnoredGroupIsFormedAgain(t *testing.T) {
+	Convey("Given a confirmed group that replay ignored", t, func() {
+		q := appender.New("vm", appender.Limits{})
+		t := q.Add(1, record())
+		q.Next(now, 3, false)
+		q.Confirmed(9)
+		So(q.Replayed(1, 9, 0), ShouldBeEmpty)
+
+		g, ok, _ := q.Next(now, 9, false)
+		So(ok, ShouldBeTrue)
+		So(g.Number, ShouldEqual, 2)
+		So(g.Base, ShouldEqual, 9)
+
+		r := q.Replayed(2, 10, 2)
+		So(r[0].Ticket(), ShouldEqual, t)
+	})
+}
+
+// Guards against a reader that restarts from a snapshot and reports a group as confirmed that it did not see.
+func TestRestoredQueueReportsOnlyWhatTheSnapshotShows(t *testing.T) {
+	Convey("Given a lost group", t, func() {
+		q := appender.New("vm", appender.Limits{})
+		q.Add(1, record())
+		q.Next(now, 0, false)
+		q.Lost(now)
+
+		Convey("a snapshot with its number confirms it", func() {
+			So(q.Restored(20, 1)[0].State(), ShouldEqual, appender.Confirmed)
+		})
+		Convey("a snapshot without the writer leaves it unknown", func() {
+			So(q.Restored(20, 0)[0].State(), ShouldEqual, appender.Unknown)
+		})
+	})
+}
+
+func ExampleQueue() {
+	q := appender.New("vm-1/4f0a", appender.Limits{})
+	t := q.Add(100, record())
+
+	// The response to the append is lost, so the records cannot be taken back, and the group is sent again.
+	g, _, _ := q.Next(now, 0, false)
+	q.Lost(now)
+	fmt.Println(g.Number, q.Withdraw(t) == appender.Sent)
+
+	g, _, _ = q.Next(now.Add(time.Second), 0, false)
+	q.Confirmed(18)
+
+	// Replay finds the first copy; the ticket ends with its offset.
+	r := q.Replayed(g.Number, 17, g.Number)
+	fmt.Println(g.Number, r[0].State() == appender.Confirmed, r[0].Offset())
+	// Output:
+	// 1 true
+	// 1 true 17
+}
--- /dev/null
+++ b/snapshot/snapshot_test.go
@@ -0,0 +1,98 @@
+package snapshot_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agategap/agategap/journal"
+	"github.com/agategap/agategap/snapshot"
+)
+
+func sections(n int) []journal.Section {
+	s := []journal.Section{{Head: &journal.Head{Offset: 9}}}
+	for i := range n {
+		s = append(s, journal.Section{Work: &journal.WorkImage{Accept: journal.Accept{Key: fmt.Sprint(i)}}})
+	}
+
+	return s
+}
+
+// Guards against a reader that starts from a snapshot whose writer was lost half way, or whose first parts the log
+// has dropped.
+func TestIncompleteSnapshotIsIgnored(t *testing.T) {
+	Convey("Given the parts of a snapshot", t, func() {
+		l := snapshot.Split("a", 9, sections(10), 600)
+		So(len(l), ShouldBeGreaterThan, 3)
+
+		Convey("no strict part of them completes it", func() {
+			for skip := range l {
+				r := snapshot.NewReader()
+
+				for i, p := range l {
+					if i != skip {
+						r.Add(time.UnixMilli(0), p)
+					}
+				}
+
+				So(r.Newest().Offset(), ShouldEqual, 0)
+			}
+		})
+		Convey("parts that occur twice and parts of another snapshot in between do no harm", func() {
+			r := snapshot.NewReader()
+			r.Add(time.UnixMilli(0), snapshot.Split("b", 8, sections(1), 600)[0])
+
+			for _, p := range l {
+				r.Add(time.UnixMilli(1), p)
+				r.Add(time.UnixMilli(2), p)
+			}
+
+			So(r.Newest().Offset(), ShouldEqual, 9)
+			So(r.Newest().Sections(), ShouldHaveLength, 11)
+			So(r.Newest().First().UnixMilli(), ShouldEqual, 1)
+		})
+	})
+}
+
+// Guards against a snapshot of an idle partition that the log drops because nothing new asks for another one.
+func TestSnapshotOfAnIdlePartitionIsRenewed(t *testing.T) {
+	Convey("Given a snapshot of everything", t, func() {
+		var r snapshot.Reader
+
+		at := time.UnixMilli(0)
+		for _, p := range snapshot.Split("a", 9, sections(1), 600) {
+			r.Add(at, p)
+		}
+
+		p := snapshot.NewPolicy(24*time.Hour, 0)
+		So(p.Due(at.Add(time.Hour), at, 9, r.Newest()), ShouldBeFalse)
+		So(p.Due(at.Add(6*time.Hour), at, 9, r.Newest()), ShouldBeTrue)
+	})
+}
+
+func Example() {
+	var p journal.Partition
+
+	p.Apply(journal.NewEntry(1, time.UnixMilli(0), journal.Group{Writer: "vm", Number: 1, Records: []journal.Record{
+		{Accept: &journal.Accept{Account: "a", Key: "k"}},
+	}}))
+
+	s, _ := p.State()
+	r := snapshot.NewReader()
+
+	for _, v := range snapshot.Split("vm/1", p.Offset(), s, 4<<20) {
+		fmt.Println(v.Index, v.Closing, r.Add(time.UnixMilli(5), v))
+	}
+
+	var n journal.Partition
+
+	_, _ = n.Restore(r.Newest().Sections())
+	_, ok := n.Lookup(journal.NewKey("a", "k"))
+	fmt.Println(n.Offset(), ok)
+	// Output:
+	// 0 false false
+	// 1 true true
+	// 1 true
+}
--- /dev/null
+++ b/store/log_test.go
@@ -0,0 +1,157 @@
+package store_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/agategap/agategap/stream"
+)
+
+// memLog is the log of a test: in memory, with a settable clock and faults.
+type memLog struct {
+	mu      sync.Mutex
+	now     time.Time
+	streams map[string]*memStream
+	fault   func(name string, n int) fault
+	appends int
+	change  chan struct{}
+}
+
+type memStream struct {
+	oldest  int64
+	entries []stream.Entry
+}
+
+// fault is what happens to one append.
+type fault uint8
+
+const (
+	none fault = iota
+	refused
+	lostBefore // no effect
+	lostAfter  // the effect happens, the response is lost
+)
+
+func newLog() *memLog {
+	return &memLog{
+		now: time.UnixMilli(1_700_000_000_000), streams: map[string]*memStream{}, change: make(chan struct{}),
+		fault: func(string, int) fault { return none },
+	}
+}
+
+func (l *memLog) stream(name string) *memStream {
+	s, ok := l.streams[name]
+	if !ok {
+		s = &memStream{oldest: 1}
+		l.streams[name] = s
+	}
+
+	return s
+}
+
+func (l *memLog) put(name string, b []byte) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	s := l.stream(name)
+	o := s.oldest + int64(len(s.entries))
+	s.entries = append(s.entries, stream.NewEntry(o, l.now, b))
+
+	close(l.change)
+	l.change = make(chan struct{})
+
+	return o
+}
+
+// drop forgets records from before t.
+func (l *memLog) drop(t time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	for _, s := range l.streams {
+		for len(s.entries) > 0 && s.entries[0].At().Before(t) {
+			s.entries = s.entries[1:]
+			s.oldest++
+		}
+	}
+}
+
+func (l *memLog) advance(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.now = l.now.Add(d)
+}
+
+func (l *memLog) clock() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.now
+}
+
+func (l *memLog) setFault(f func(name string, n int) fault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.fault, l.appends = f, 0
+}
+
+func (l *memLog) Append(_ context.Context, name string, b []byte) (int64, error) {
+	l.mu.Lock()
+	l.appends++
+	f := l.fault(name, l.appends)
+	l.mu.Unlock()
+
+	switch f {
+	case refused:
+		return 0, stream.ErrRefused
+	case lostBefore:
+		return 0, stream.ErrLost
+	case lostAfter:
+		l.put(name, b)
+
+		return 0, stream.ErrLost
+	default:
+		return l.put(name, b), nil
+	}
+}
+
+func (l *memLog) page(name string, from int64) (stream.Page, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	s := l.stream(name)
+	next := s.oldest + int64(len(s.entries))
+
+	if from < s.oldest {
+		return stream.NewPage(nil, s.oldest, next), nil, stream.ErrDropped
+	}
+
+	var e []stream.Entry
+	if from < next {
+		e = append(e, s.entries[from-s.oldest:]...)
+	}
+
+	return stream.NewPage(e, s.oldest, next), l.change, nil
+}
+
+func (l *memLog) Read(ctx context.Context, name string, from int64, wait time.Duration) (stream.Page, error) {
+	end := time.After(wait)
+
+	for {
+		p, ch, err := l.page(name, from)
+		if err != nil || wait == 0 || len(p.Entries()) > 0 {
+			return p, err
+		}
+
+		select {
+		case <-ch:
+		case <-end:
+			return p, nil
+		case <-ctx.Done():
+			return p, stream.ErrUnavailable
+		}
+	}
+}
--- /dev/null
+++ b/store/property_test.go
@@ -0,0 +1,466 @@
+package store_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/agategap/agategap/appender"
+	"github.com/agategap/agategap/job"
+	"github.com/agategap/agategap/journal"
+	"github.com/agategap/agategap/lease"
+)
+
+const (
+	retainWork = 20 * time.Minute
+	retainJob  = 1000 * time.Hour
+	jobItems   = 3
+	leaseTime  = 10 * time.Second
+	pauseBound = 10 * time.Second
+	sendTime   = time.Second
+)
+
+var terms = lease.NewTerms(leaseTime, pauseBound, sendTime)
+
+// mark is a record without effect that names the operation which carries it.
+func mark(id string) journal.Record {
+	return journal.Record{Release: &journal.Release{Account: "op", Key: id}}
+}
+
+func opOf(r journal.Record) string {
+	if r.Release != nil && r.Release.Account == "op" {
+		return r.Release.Key
+	}
+
+	return ""
+}
+
+// keys are used by two accounts, so that an answer under the wrong account shows. Work under k0 may run again.
+func drawKey(t *rapid.T) (journal.Key, bool) {
+	k := rapid.SampledFrom([]string{"k0", "k1"}).Draw(t, "key")
+
+	return journal.NewKey(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "account"), k), k == "k0"
+}
+
+func (n *node) busy(k journal.Key) bool {
+	for _, o := range n.ops {
+		if o.key == k {
+			return true
+		}
+	}
+
+	return false
+}
+
+// request accepts and claims work like the record filter.
+func (n *node) request() {
+	k, idempotent := drawKey(n.w.t)
+	if n.busy(k) {
+		return
+	}
+
+	id := n.w.id("op")
+	a := &journal.Accept{
+		Account: k.Account(), Key: k.Key(), Digest: k.String(), Path: id, Idempotent: idempotent, RetainMS: retainWork.Milliseconds(),
+	}
+	c := &journal.Claim{Account: k.Account(), Key: k.Key(), ID: id, Holder: n.name}
+
+	o := n.submit(id, func(n *node) { n.claimed(k, id) }, mark(id), journal.Record{Accept: a}, journal.Record{Claim: c})
+	o.key, o.claim = k, true
+}
+
+// takeOver claims idempotent work that another node holds.
+func (n *node) takeOver() {
+	k, idempotent := drawKey(n.w.t)
+
+	v, ok := n.part.Lookup(k)
+	if !ok || v.Ended() || !idempotent || n.busy(k) {
+		return
+	}
+
+	id := n.w.id("op")
+	c := &journal.Claim{Account: k.Account(), Key: k.Key(), ID: id, Holder: n.name, Replaces: v.Claim()}
+	o := n.submit(id, func(n *node) { n.claimed(k, id) }, mark(id), journal.Record{Claim: c})
+	o.key, o.claim = k, true
+}
+
+// claimed is called when the replay has reached a claim: the work is dispatched if the claim won.
+func (n *node) claimed(k journal.Key, id string) {
+	v, ok := n.part.Lookup(k)
+	if !ok {
+		return // released or expired since
+	}
+
+	if v.Accept().Account != k.Account() || v.Accept().Digest != k.String() {
+		n.w.failf("%s found the work of another key", id)
+	}
+
+	inc := v.Accept().Path
+	n.w.acked[inc] = k
+
+	if v.Claim() != id {
+		return
+	}
+
+	if rapid.IntRange(0, 3).Draw(n.w.t, "no target") == 0 {
+		n.release(k, id)
+
+		return
+	}
+
+	n.w.runs[inc]++
+	if !v.Accept().Idempotent && n.w.runs[inc] > 1 {
+		n.w.failf("%s was dispatched twice", inc)
+	}
+
+	c := n.w.id("op")
+	o := n.submit(c, nil, mark(c), journal.Record{Complete: &journal.Complete{
+		Account: k.Account(), Key: k.Key(), Claim: id, Effect: journal.Done, Text: c,
+	}})
+	o.key = k
+}
+
+func (n *node) release(k journal.Key, claim string) {
+	id := n.w.id("op")
+	o := n.submit(id, nil, mark(id), journal.Record{Release: &journal.Release{Account: k.Account(), Key: k.Key(), Claim: claim}})
+	o.key = k
+}
+
+// giveUp ends the wait of one caller.
+func (n *node) giveUp() {
+	var l []*op
+
+	for _, o := range n.ops {
+		if !o.gone && (o.claim || o.key == journal.Key{}) {
+			l = append(l, o)
+		}
+	}
+
+	if len(l) == 0 {
+		return
+	}
+
+	slices.SortFunc(l, func(a, b *op) int { return int(a.ticket) - int(b.ticket) })
+	o := rapid.SampledFrom(l).Draw(n.w.t, "caller")
+
+	s := n.queue.Withdraw(o.ticket)
+	if s == appender.Sent && rapid.Bool().Draw(n.w.t, "abandon") {
+		s = n.queue.Abandon(o.ticket)
+	}
+
+	o.gone = true
+
+	if s == appender.Withdrawn {
+		delete(n.ops, o.ticket)
+		n.w.notRun[o.id] = true
+
+		return
+	}
+
+	if o.claim {
+		n.release(o.key, o.id)
+	}
+}
+
+// observe checks what one entry changed.
+func (w *world) observe(c []journal.Change) {
+	for _, v := range c {
+		k := v.Key()
+		now, ok := w.truth.Lookup(k)
+
+		switch v.Kind() {
+		case journal.WorkAccepted:
+			delete(w.current, k)
+
+			if ok {
+				w.current[k] = now.Accept().Path
+			}
+		case journal.WorkClaimed:
+			inc := w.current[k]
+			w.claims[inc]++
+
+			if inc != "" && k.Key() != "k0" && w.claims[inc] > 1 {
+				w.failf("a second claim of %s won", inc)
+			}
+		case journal.WorkReleased:
+			if inc := w.current[k]; !ok && inc != "" {
+				w.released[inc] = true
+				delete(w.current, k)
+
+				if w.runs[inc] > 0 {
+					w.failf("%s was released after it was dispatched", inc)
+				}
+			}
+		case journal.WorkEnded:
+			inc := w.current[k]
+			if w.final[inc] != "" {
+				w.failf("%s ended twice", inc)
+			}
+
+			w.final[inc], w.finalAt[inc] = now.Result().Text, w.truth.At()
+		default:
+			w.observeJob(v)
+		}
+	}
+}
+
+func (w *world) observeJob(c journal.Change) {
+	if w.cancelled[c.Job()] && (c.Kind() == journal.JobLeased || c.Kind() == journal.JobProgressed) {
+		w.failf("%s changed after it was cancelled", c.Job())
+	}
+
+	w.cancelled[c.Job()] = w.cancelled[c.Job()] || c.Kind() == journal.JobCancelled
+
+	w.truth.Job(c.Job(), func(j *job.Job) {
+		for i := range j.Items() {
+			if b := j.Item(i).Body; j.State() == job.Running && b != nil && string(b) != j.Digest() {
+				w.failf("item %d of %s is of another submission", i, c.Job())
+			}
+
+			k := fmt.Sprintf("%s/%d", c.Job(), i)
+
+			r, ok := j.Result(i)
+			if old := w.itemFinal[k]; old != "" && old != string(r.Body) {
+				w.failf("the result of item %s changed", k)
+			}
+
+			if ok {
+				w.itemFinal[k] = string(r.Body)
+			}
+		}
+	})
+}
+
+// check holds after every step.
+func (w *world) check() {
+	for id := range w.notRun {
+		if w.effect[id] {
+			w.failf("%s was reported as not run and took effect", id)
+		}
+	}
+
+	for inc, k := range w.acked {
+		if at, ok := w.finalAt[inc]; w.released[inc] || ok && w.truth.At().After(at.Add(retainWork)) {
+			continue
+		}
+
+		v, ok := w.truth.Lookup(k)
+		if !ok || v.Accept().Path != inc {
+			w.failf("accepted work %s is not readable", inc)
+		}
+
+		if v.Ended() && v.Result().Text != w.final[inc] {
+			w.failf("%s has two results", inc)
+		}
+	}
+}
+
+// heldShard is a shard of a job that a node holds.
+type heldShard struct {
+	job     string
+	shard   int
+	held    lease.Held
+	started bool
+}
+
+func drawJob(t *rapid.T) string { return rapid.SampledFrom([]string{"j0", "j1"}).Draw(t, "job") }
+
+// submitJob submits a job in two operations, as a large one is. Two digests stand for two different submissions
+// under one key.
+func (n *node) submitJob() {
+	id, digest := drawJob(n.w.t), rapid.SampledFrom([]string{"d0", "d1"}).Draw(n.w.t, "digest")
+	o := &job.Open{
+		Job: id, Account: "a", Digest: digest, Idempotent: id == "j0", Items: jobItems, ShardItems: 2,
+		RetainMS: retainJob.Milliseconds(),
+	}
+	items := func(first, end int) journal.Record {
+		l := make([]job.Item, 0, jobItems)
+		for i := first; i < end; i++ {
+			l = append(l, job.Item{CustomID: fmt.Sprint(i), Body: []byte(digest)})
+		}
+
+		return journal.Record{Items: &job.Items{Job: id, Digest: digest, First: first, Items: l}}
+	}
+
+	a, b := n.w.id("op"), n.w.id("op")
+	n.submit(a, nil, mark(a), journal.Record{Open: o}, items(0, 2))
+	n.submit(b, nil, mark(b), items(2, jobItems), journal.Record{Submit: &job.Submit{Job: id, Digest: digest}})
+}
+
+// grant leases a shard, or takes it over once its lease may have ended.
+func (n *node) grant() {
+	id, s := drawJob(n.w.t), rapid.IntRange(0, 1).Draw(n.w.t, "shard")
+	name := fmt.Sprintf("%s/%d", id, s)
+
+	n.part.Job(id, func(j *job.Job) {
+		if j.State() != job.Running || len(j.Left(s)) == 0 {
+			return
+		}
+
+		g, _ := j.Lease(s)
+
+		w := n.watches[name]
+		if w == nil {
+			w = &lease.Watch{}
+			n.watches[name] = w
+		}
+
+		w.Seen(n.w.log.now, g.Offset(), g.Renewals(), terms)
+
+		if !w.MayTakeOver(n.w.log.now) {
+			return
+		}
+
+		op := n.w.id("op")
+		l := &job.Lease{Job: id, Shard: s, Domain: op, Holder: n.name, Replaces: g.Offset()}
+		asked := n.w.log.now
+		n.submit(op, func(n *node) { n.granted(id, s, op, asked) }, mark(op), journal.Record{Lease: l})
+	})
+}
+
+func (n *node) granted(id string, s int, op string, asked time.Time) {
+	n.part.Job(id, func(j *job.Job) {
+		if g, ok := j.Lease(s); ok && g.Domain() == op {
+			n.held[fmt.Sprintf("%s/%d", id, s)] = heldShard{job: id, shard: s, held: lease.Take(g.Offset(), asked, terms)}
+		}
+	})
+}
+
+// startItems records the items of a held shard as started and runs them once that is replayed.
+func (n *node) startItems() {
+	name := fmt.Sprintf("%s/%d", drawJob(n.w.t), rapid.IntRange(0, 1).Draw(n.w.t, "shard"))
+
+	h, ok := n.held[name]
+	if !ok || h.started {
+		return
+	}
+
+	h.started = true
+	n.held[name] = h
+
+	var run, uncertain []int
+
+	n.part.Job(h.job, func(j *job.Job) {
+		for _, i := range j.Left(h.shard) {
+			if j.Started(i) && !j.Idempotent() {
+				uncertain = append(uncertain, i)
+			} else {
+				run = append(run, i)
+			}
+		}
+	})
+
+	b, err := job.Bitmap(run)
+	if err != nil {
+		n.w.failf("bitmap: %v", err)
+	}
+
+	op := n.w.id("op")
+	r := &job.Start{Job: h.job, Shard: h.shard, Lease: h.held.Token(), Items: b}
+	n.submit(op, func(n *node) { n.runItems(h, run, uncertain) }, mark(op), journal.Record{Start: r})
+}
+
+func (n *node) runItems(h heldShard, run, uncertain []int) {
+	holds := false
+
+	n.part.Job(h.job, func(j *job.Job) { holds = j.Holds(h.shard, h.held.Token()) })
+
+	if !holds || !h.held.MaySend(n.w.log.now) {
+		return
+	}
+
+	op := n.w.id("op")
+	p := &job.Progress{Job: h.job, Shard: h.shard, Lease: h.held.Token()}
+
+	for _, i := range run {
+		k := fmt.Sprintf("%s/%d", h.job, i)
+		n.w.itemRuns[k]++
+
+		if h.job != "j0" && n.w.itemRuns[k] > 1 {
+			n.w.failf("item %s was dispatched twice", k)
+		}
+
+		p.Results = append(p.Results, job.Result{Index: uint32(i), Effect: job.Done, Body: []byte(op)})
+	}
+
+	for _, i := range uncertain {
+		p.Results = append(p.Results, job.Result{Index: uint32(i), Effect: job.Unknown, Body: []byte(op)})
+	}
+
+	n.submit(op, nil, mark(op), journal.Record{Progress: p})
+}
+
+func (n *node) changeJob() {
+	id, op, priority := drawJob(n.w.t), n.w.id("op"), n.w.ids
+
+	r := journal.Record{Cancel: &job.Cancel{Job: id, Account: "a"}}
+	if rapid.IntRange(0, 3).Draw(n.w.t, "amend") > 0 {
+		r = journal.Record{Amend: &job.Amend{Job: id, Account: "a", Priority: &priority}}
+	}
+
+	n.submit(op, nil, mark(op), r)
+}
+
+// Guards against every failure of section 4 of the design: lost and late appends, an outage, dropped records, nodes
+// that are lost, cut off or paused past their lease, repeated submissions, cancels that race with completions, and
+// snapshots that were not finished.
+func TestAcceptedWorkSurvivesEveryInterleaving(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+
+		draw := func() *node { return w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")] }
+		step := func(f func(n *node)) func(*rapid.T) {
+			return func(*rapid.T) {
+				f(draw())
+			}
+		}
+		send := step((*node).send)
+		read := step(func(n *node) { n.replay(rapid.IntRange(1, 5).Draw(t, "entries")) })
+
+		t.Repeat(map[string]func(*rapid.T){
+			"request":    step((*node).request),
+			"take over":  step((*node).takeOver),
+			"give up":    step((*node).giveUp),
+			"submit job": step((*node).submitJob),
+			"grant":      step((*node).grant),
+			"start":      step((*node).startItems),
+			"change job": step((*node).changeJob),
+			"send":       send,
+			"send more":  send,
+			"read":       read,
+			"read more":  read,
+			"cycle": step(func(n *node) {
+				n.w.log.advance(3 * time.Second)
+				n.send()
+				n.replay(-1)
+			}),
+			"late": func(t *rapid.T) {
+				if len(w.late) > 0 {
+					i := rapid.IntRange(0, len(w.late)-1).Draw(t, "append")
+					w.append(w.late[i])
+					w.late = slices.Delete(w.late, i, i+1)
+				}
+			},
+			"crash":         func(t *rapid.T) { w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")] = w.newNode() },
+			"cut or heal":   step(func(n *node) { n.off = !n.off }),
+			"half snapshot": step(func(n *node) { n.writeSnapshot(rapid.IntRange(0, 2).Draw(t, "parts")) }),
+			"wait":          func(*rapid.T) { w.log.advance(leaseTime) },
+			"pass": func(t *rapid.T) {
+				w.tick(time.Duration(rapid.IntRange(1, 90).Draw(t, "minutes")) * time.Minute)
+			},
+			"": func(*rapid.T) { w.check() },
+		})
+
+		// Every store is replaced: what the log has is enough.
+		n := w.newNode()
+		n.restore()
+		n.replay(-1)
+
+		if n.part.Offset() != w.truth.Offset() {
+			w.failf("a new store ends at offset %d of %d", n.part.Offset(), w.truth.Offset())
+		}
+	})
+}
--- /dev/null
+++ b/store/store_test.go
@@ -0,0 +1,206 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+
+	"github.com/agategap/agategap/appender"
+	"github.com/agategap/agategap/journal"
+	"github.com/agategap/agategap/outcome"
+	"github.com/agategap/agategap/store"
+	"github.com/agategap/agategap/wire"
+)
+
+const retention = time.Hour
+
+// start returns a running store and the function that stops it and waits for it.
+func start(l *memLog, writer string, limits appender.Limits) (*store.Store, func()) {
+	o := store.NewOptions(writer, 2, limits, time.Now).WithSnapshots(wire.Parts{}, retention)
+	s := store.New(l, wire.Groups{}, o)
+
+	return s, func() {
+		s.Stop()
+		_ = s.Wait()
+	}
+}
+
+func accept(key string) journal.Record {
+	return journal.Record{Accept: &journal.Accept{Account: "a", Key: key, Digest: "d", Idempotent: true, Body: make([]byte, 100), RetainMS: 1000}}
+}
+
+func within(d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), d)
+}
+
+func submit(s *store.Store, d time.Duration, r ...journal.Record) error {
+	c, stop := within(d)
+	defer stop()
+
+	return s.Submit(c, 0, r...)
+}
+
+// Guards against an outcome that says more than is known, or less.
+func TestSubmitReportsWhatIsKnown(t *testing.T) {
+	defer goleak.VerifyNone(t)
+
+	Convey("Given a store", t, func() {
+		l := newLog()
+		s, stop := start(l, "w", appender.NewLimits(0, 0, time.Millisecond))
+		Reset(stop)
+		So(submit(s, time.Second, accept("first")), ShouldBeNil)
+
+		Convey("records that the log refused every time are withdrawn as not run, and never appear", func() {
+			l.setFault(func(string, int) fault { return refused })
+			err := submit(s, 200*time.Millisecond, accept("k"))
+			So(outcome.From(err).Effect(), ShouldEqual, outcome.NotRun)
+
+			l.setFault(func(string, int) fault { return none })
+			So(submit(s, time.Second, accept("next")), ShouldBeNil)
+
+			_, ok := s.Replay(0).Lookup(journal.NewKey("a", "k"))
+			So(ok, ShouldBeFalse)
+		})
+		Convey("records whose append was lost are unknown, and one copy takes effect", func() {
+			l.setFault(func(_ string, n int) fault {
+				if n < 4 {
+					return lostBefore
+				}
+
+				return none
+			})
+			err := submit(s, 30*time.Millisecond, accept("k"))
+			So(outcome.From(err).Effect(), ShouldEqual, outcome.Unknown)
+
+			c, stop := within(5 * time.Second)
+			defer stop()
+			So(s.Flush(c), ShouldBeNil)
+
+			_, ok := s.Replay(0).Lookup(journal.NewKey("a", "k"))
+			So(ok, ShouldBeTrue)
+		})
+		Convey("a lost response of an append that took effect is resolved by replay", func() {
+			l.setFault(func(string, int) fault { return lostAfter })
+			So(submit(s, 5*time.Second, accept("k")), ShouldBeNil)
+		})
+		Convey("records that were given up after a lost append end as not run once a later number is confirmed", func() {
+			l.setFault(func(_ string, n int) fault {
+				if n == 1 {
+					return lostBefore
+				}
+
+				return none
+			})
+			c, stop := within(20 * time.Millisecond)
+			defer stop()
+			err := s.SubmitOrWithdraw(c, 5*time.Second, 0, accept("k"))
+			So(outcome.From(err).Effect(), ShouldEqual, outcome.NotRun)
+
+			_, ok := s.Replay(0).Lookup(journal.NewKey("a", "k"))
+			So(ok, ShouldBeFalse)
+		})
+	})
+}
+
+// Guards against a queue that grows without bound while the log is down, and against completions that compete with
+// new work for the room.
+func TestQueueIsBoundedDuringAnOutage(t *testing.T) {
+	defer goleak.VerifyNone(t)
+
+	Convey("With a log that refuses appends", t, func() {
+		l := newLog()
+		l.setFault(func(string, int) fault { return refused })
+		s, stop := start(l, "w", appender.NewLimits(0, 0, time.Millisecond).WithQueue(1000))
+		Reset(stop)
+
+		n := 0
+		for s.Offer(0, accept(fmt.Sprint(n))) && n < 100 {
+			n++
+		}
+
+		So(n, ShouldBeBetween, 1, 10)
+		So(s.Dropped(), ShouldEqual, 1)
+		So(outcome.Is(submit(s, time.Second, accept("more")), outcome.Overloaded), ShouldBeTrue)
+
+		Convey("the queued records are appended when the log is back", func() {
+			l.setFault(func(string, int) fault { return none })
+
+			c, stop := within(10 * time.Second)
+			defer stop()
+			So(s.Flush(c), ShouldBeNil)
+
+			_, ok := s.Replay(0).Lookup(journal.NewKey("a", fmt.Sprint(n-1)))
+			So(ok, ShouldBeTrue)
+		})
+	})
+}
+
+// Guards against a reader that stays behind for good after retention dropped what it had not read.
+func TestReaderRestartsFromASnapshot(t *testing.T) {
+	defer goleak.VerifyNone(t)
+
+	Convey("Given a journal that was carried into a snapshot and then dropped", t, func() {
+		l := newLog()
+		s, stop := start(l, "w1", appender.NewLimits(0, 0, time.Millisecond))
+		So(submit(s, time.Second, accept("kept")), ShouldBeNil)
+		stop()
+
+		b := snapshotOf(s)
+		l.put("snapshot/0", b[0]) // left behind by a writer that was lost
+		l.advance(2 * retention)
+
+		for _, v := range b {
+			l.put("snapshot/0", v)
+		}
+
+		l.drop(l.clock().Add(-retention))
+
+		Convey("a new store has the work and goes on behind it", func() {
+			n, stop := start(l, "w2", appender.NewLimits(0, 0, time.Millisecond))
+			Reset(stop)
+			So(submit(n, 5*time.Second, accept("later")), ShouldBeNil)
+
+			for _, k := range []string{"kept", "later"} {
+				_, ok := n.Replay(0).Lookup(journal.NewKey("a", k))
+				So(ok, ShouldBeTrue)
+			}
+		})
+	})
+}
+
+// Guards against a store that keeps the memory and the readers of every partition that it ever used, and against a
+// close that loses queued records.
+func TestCloseStopsToFollow(t *testing.T) {
+	defer goleak.VerifyNone(t)
+
+	Convey("Given a store with two partitions", t, func() {
+		l := newLog()
+		s, stop := start(l, "w", appender.NewLimits(0, 0, time.Millisecond))
+		Reset(stop)
+		So(submit(s, time.Second, accept("k")), ShouldBeNil)
+		s.Open(1)
+		So(s.Followed(), ShouldResemble, []int{0, 1})
+
+		Convey("a closed partition is empty and comes back at the next use", func() {
+			So(s.Close(0), ShouldBeTrue)
+			So(s.Followed(), ShouldResemble, []int{1})
+
+			c, stop := within(time.Second)
+			defer stop()
+			So(s.Sync(c, 0), ShouldBeNil)
+
+			_, ok := s.Replay(0).Lookup(journal.NewKey("a", "k"))
+			So(ok, ShouldBeTrue)
+			So(submit(s, time.Second, accept("k2")), ShouldBeNil)
+		})
+		Convey("a partition with queued records stays open", func() {
+			l.setFault(func(string, int) fault { return refused })
+			s.Enqueue(0, accept("queued"))
+			So(s.Close(0), ShouldBeFalse)
+		})
+	})
+}
