--- a/job/image.go
+++ b/job/image.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -25,6 +26,8 @@
 		*b.to = v
 	}
 
+	m.Tries = maps.Clone(j.tries)
+
 	for _, g := range j.leases {
 		m.Leases = append(m.Leases, LeaseImage{Lease: g.record, Offset: g.offset, Renewals: g.renewals})
 	}
@@ -67,6 +70,14 @@
 		}
 	}
 
+	for i, n := range m.Tries {
+		j.tries[i] = n
+	}
+
+	for s := range j.left {
+		j.left[s] = len(j.Left(s))
+	}
+
 	for _, l := range m.Leases {
 		j.leases[l.Lease.Shard] = Grant{record: l.Lease, offset: l.Offset, renewals: l.Renewals}
 	}
--- a/job/job.go
+++ b/job/job.go
@@ -40,6 +40,8 @@
 	results map[uint32]Result
 	counts  [Unknown + 1]int
 	leases  map[int]Grant
+	left    []int
+	tries   map[uint32]int
 
 	openedAt time.Time
 	endedAt  time.Time
@@ -77,7 +79,7 @@
 func NewAt(o Open, at time.Time) *Job {
 	o.ShardItems = max(1, o.ShardItems)
 
-	return &Job{
+	j := &Job{
 		openedAt: at,
 
 		open:    o,
@@ -87,7 +89,15 @@
 		ended:   roaring.New(),
 		results: map[uint32]Result{},
 		leases:  map[int]Grant{},
+		tries:   map[uint32]int{},
 	}
+
+	for s := range j.Shards() {
+		first, end := j.Bounds(s)
+		j.left = append(j.left, end-first)
+	}
+
+	return j
 }
 
 // ID returns the job identifier.
@@ -163,6 +173,16 @@
 	return l
 }
 
+// PendingIn returns the number of pending items of shard s.
+func (j *Job) PendingIn(s int) int { return j.left[s] }
+
+// Attempts returns the attempts that were reported of pending item i.
+func (j *Job) Attempts(i int) int { return j.tries[uint32(i)] } //nolint:gosec // an item index
+
+// Dispatched returns the number of items that were marked as about to be dispatched, which only items that may
+// not run twice are.
+func (j *Job) Dispatched() int { return int(j.started.GetCardinality()) } //nolint:gosec // at most Items
+
 // Started reports whether item i may already have been dispatched under an earlier lease.
 func (j *Job) Started(i int) bool { return j.started.ContainsInt(i) }
 
@@ -267,6 +287,12 @@
 	n := 0
 	first, end := j.Bounds(r.Shard)
 
+	for _, t := range r.Tries {
+		if i := int(t.Index); i >= first && i < end && !j.ended.ContainsInt(i) {
+			j.tries[t.Index] = max(j.tries[t.Index], t.Attempts)
+		}
+	}
+
 	for _, v := range r.Results {
 		i := int(v.Index)
 		if i < first || i >= end || v.Effect < Done || v.Effect > Unknown || !j.ended.CheckedAdd(v.Index) {
@@ -276,6 +302,9 @@
 		j.results[v.Index] = v
 		j.counts[v.Effect]++
 		j.items[i].Body = nil
+		j.left[r.Shard]--
+		delete(j.tries, v.Index)
+
 		n++
 	}
 
--- a/job/record.go
+++ b/job/record.go
@@ -95,12 +95,19 @@
 	Attempts int    `msgpack:"attempts"` // attempts made
 }
 
+// Try says how often a pending item was attempted without success.
+type Try struct {
+	Index    uint32 `msgpack:"index"`
+	Attempts int    `msgpack:"attempts"`
+}
+
 // Progress reports ended items of a shard and renews its lease.
 type Progress struct {
 	Job     string   `msgpack:"job"`
 	Shard   int      `msgpack:"shard"`
 	Lease   int64    `msgpack:"lease"` // offset of the lease
 	Results []Result `msgpack:"results"`
+	Tries   []Try    `msgpack:"tries"` // attempts so far, so that the bound holds across takeovers
 }
 
 // Cancel stops a job. It fences every lease, start and progress after it.
@@ -119,14 +126,15 @@
 
 // Image is the state of a job in a snapshot, without its items and results.
 type Image struct {
-	Open     Open         `msgpack:"open"`
-	State    State        `msgpack:"state"`
-	OpenedMS int64        `msgpack:"opened_ms"` // log's time of the open record, Unix milliseconds
-	EndedMS  int64        `msgpack:"ended_ms"`  // log's time of the end, Unix milliseconds; 0 before it
-	Carried  []byte       `msgpack:"carried"`   // serialized roaring bitmaps of item indexes
-	Started  []byte       `msgpack:"started"`
-	Ended    []byte       `msgpack:"ended"`
-	Leases   []LeaseImage `msgpack:"leases"`
+	Open     Open           `msgpack:"open"`
+	State    State          `msgpack:"state"`
+	OpenedMS int64          `msgpack:"opened_ms"` // log's time of the open record, Unix milliseconds
+	EndedMS  int64          `msgpack:"ended_ms"`  // log's time of the end, Unix milliseconds; 0 before it
+	Carried  []byte         `msgpack:"carried"`   // serialized roaring bitmaps of item indexes
+	Tries    map[uint32]int `msgpack:"tries"`     // attempts made on items that have not ended
+	Started  []byte         `msgpack:"started"`
+	Ended    []byte         `msgpack:"ended"`
+	Leases   []LeaseImage   `msgpack:"leases"`
 }
 
 // LeaseImage is a lease in force in a snapshot.
