Let the durability property reach long histories of work and jobs

Work that a replaced claim gave back is run again by the partition's writer instead of left without a holder.

--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -67,6 +67,9 @@
 		Convey("work whose earlier claim was replaced stays, and takes the earlier holder's completion", func() {
 			w.apply(accept(false), claim("c1", ""), claim("c2", "c1"), release("c2"))
 			So(there(), ShouldBeTrue)
+
+			v, _ := w.p.Lookup(k)
+			So(v.Step(start, false, time.Second, time.Second), ShouldEqual, journal.Run)
 			So(w.apply(complete("c1")), ShouldHaveLength, 1)
 		})
 		Convey("work that was claimed once and given back is gone", func() {
--- a/journal/work.go
+++ b/journal/work.go
@@ -33,7 +33,8 @@
 	}
 
 	if w.claim.ID == "" {
-		if w.accept.Async {
+		// A claim that replaced another one and was given back leaves work that was accepted and has no holder.
+		if w.accept.Async || w.replaced {
 			return Run
 		}
 
--- a/snapshot/snapshot_test.go
+++ b/snapshot/snapshot_test.go
@@ -44,9 +44,9 @@
 			r := snapshot.NewReader()
 			r.Add(time.UnixMilli(0), snapshot.Split("b", 8, sections(1), 600)[0])
 
-			for _, p := range l {
-				r.Add(time.UnixMilli(1), p)
-				r.Add(time.UnixMilli(2), p)
+			for i, p := range l {
+				r.Add(time.UnixMilli(int64(i+1)), p)
+				r.Add(time.UnixMilli(int64(i+1)), p)
 			}
 
 			So(r.Newest().Offset(), ShouldEqual, 9)
--- a/store/model_test.go
+++ b/store/model_test.go
@@ -118,6 +118,7 @@
 	nodes   []*node
 	late    [][]byte // appends on their way whose response is lost
 	ids     int
+	limits  appender.Limits
 	numbers map[string]uint64
 	effect  map[string]bool // operations that took effect
 	notRun  map[string]bool // operations that were reported as not run
@@ -143,6 +144,8 @@
 		finalAt: map[string]time.Time{}, cancelled: map[string]bool{}, itemRuns: map[string]int{}, itemFinal: map[string]string{},
 	}
 
+	w.limits = appender.NewLimits(rapid.SampledFrom([]int{3, 12}).Draw(t, "group"), 0, time.Millisecond)
+
 	const nodes = 3
 	for range nodes {
 		w.nodes = append(w.nodes, w.newNode())
@@ -161,7 +164,7 @@
 	name := w.id("vm/")
 
 	return &node{
-		w: w, name: name, queue: appender.New(name, appender.NewLimits(12, 0, time.Millisecond)),
+		w: w, name: name, queue: appender.New(name, w.limits),
 		ops: map[appender.Ticket]*op{}, held: map[string]heldShard{}, watches: map[string]*lease.Watch{},
 	}
 }
--- a/store/property_test.go
+++ b/store/property_test.go
@@ -397,7 +397,7 @@
 	id, op, priority := drawJob(n.w.t), n.w.id("op"), n.w.ids
 
 	r := journal.Record{Cancel: &job.Cancel{Job: id, Account: "a"}}
-	if rapid.IntRange(0, 3).Draw(n.w.t, "amend") > 0 {
+	if rapid.Bool().Draw(n.w.t, "amend") {
 		r = journal.Record{Amend: &job.Amend{Job: id, Account: "a", Priority: &priority}}
 	}
 
@@ -420,12 +420,23 @@
 		send := step((*node).send)
 		read := step(func(n *node) { n.replay(rapid.IntRange(1, 5).Draw(t, "entries")) })
 
-		cycle := step(func(n *node) {
-			n.w.log.advance(3 * time.Second)
+		turn := func(n *node) {
+			w.log.advance(3 * time.Second)
 			n.send()
 			n.replay(-1)
-		})
+		}
+		cycle := step(turn)
+		settle := func(*rapid.T) {
+			for range 4 {
+				for _, n := range w.nodes {
+					n.off = false
+
+					turn(n)
+				}
+			}
+		}
 		actions := map[string]func(*rapid.T){
+			"settle":     settle,
 			"give up":    step((*node).giveUp),
 			"send":       send,
 			"read":       read,
