--- a/store/cell.go
+++ b/store/cell.go
@@ -140,13 +140,13 @@
 	return c.changed
 }
 
-// add queues records if they fit, and returns the channel that gets the end of their ticket.
-func (c *cell) add(r []journal.Record, room func(q *appender.Queue, weight int) bool) (appender.Ticket, <-chan appender.Result, bool) {
+// add queues new work if there is room, and returns the channel that gets the end of its ticket.
+func (c *cell) add(r []journal.Record) (appender.Ticket, <-chan appender.Result, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
 	w := weigh(r)
-	if !room(c.queue, w) {
+	if !c.queue.Room(w) {
 		return 0, nil, false
 	}
 
@@ -158,6 +158,22 @@
 	return t, done, true
 }
 
+// offer queues records of accepted work if there is room. Nobody waits for their end.
+func (c *cell) offer(r []journal.Record) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	w := weigh(r)
+	if !c.queue.Reserve(w) {
+		return false
+	}
+
+	c.queue.Add(w, r...)
+	c.signal()
+
+	return true
+}
+
 // giveUp withdraws a ticket, or abandons it, and returns its state.
 func (c *cell) giveUp(t appender.Ticket, abandon bool) appender.State {
 	c.mu.Lock()
@@ -248,7 +264,6 @@
 func (s *Store) follow(ctx context.Context, c *cell, ready chan<- struct{}) {
 	restart, first := true, true
 	delay := retryDelay
-	wait := time.Duration(0) // the first read of an empty partition must not hold up the first append
 
 	for ctx.Err() == nil {
 		if restart {
@@ -263,6 +278,12 @@
 
 		from := c.part.Offset() + 1
 
+		// The first read does not wait for a record, as appends wait for it.
+		wait := readWait
+		if first {
+			wait = 0
+		}
+
 		g, err := s.log.Read(ctx, c.name, from, wait)
 		if errors.Is(err, stream.ErrDropped) || err == nil && g.Oldest() > from {
 			restart = true
@@ -285,7 +306,7 @@
 		delay = retryDelay
 
 		if first {
-			first, wait = false, readWait
+			first = false
 
 			close(ready)
 		}
