Test the decisions about job shards under any interleaving

The tests guard against items that are lost, end twice, go on after a cancellation or are sent twice, and against leases that are replaced early.

--- /dev/null
+++ b/job/grantor_test.go
@@ -0,0 +1,114 @@
+package job_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/agategap/agategap/job"
+)
+
+// running returns a job with shards of one item each.
+func running(id string, items, priority int, deadline time.Time) *job.Job {
+	j := job.New(job.Open{
+		Job: id, Account: "a", Items: items, ShardItems: 1, MaxAttempts: 3, Idempotent: true,
+		Priority: priority, DeadlineMS: deadline.UnixMilli(),
+	})
+	j.Carry(job.Items{Items: make([]job.Item, items)})
+	j.Submit(deadline)
+
+	return j
+}
+
+// Guards against a lease that is replaced while its holder still counts on it, and against one that is never replaced.
+func TestLeaseIsReplacedOnlyAfterDurationAndPause(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(1000, 0)
+		now, renewed := start, start
+		j := running("j", 1, 0, start)
+		j.Grant(job.Lease{Job: "j", Holder: "one", DurationMS: lease.Milliseconds()}, 7)
+
+		var g job.Grantor
+
+		other := job.NewDemand("d", "two", 1, nil, nil)
+		offers := func() int { return len(g.Offers(now, j.Candidates(8), other, pause)) }
+
+		if offers() != 0 {
+			t.Fatal("a lease that was just seen was offered")
+		}
+
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+			free := now.Sub(renewed) > lease+pause
+
+			if n := offers(); (n == 1) != free {
+				t.Fatalf("%d offers %s after the last renewal", n, now.Sub(renewed))
+			}
+
+			if rapid.Bool().Draw(t, "renew") {
+				v, _ := j.Lease(0)
+				g.Renew(now, job.Ref{Job: "j"}, v, false)
+
+				renewed = now
+			}
+		}
+	})
+}
+
+// Guards against urgent jobs that wait behind others, and against a failure domain that takes all shards of a job while
+// others ask as well.
+func TestShardsAreGrantedInOrderAndInShares(t *testing.T) {
+	Convey("Given jobs of different priority and deadline", t, func() {
+		now := time.Unix(1000, 0)
+		late, soon, high := running("late", 1, 0, now.Add(time.Hour)), running("soon", 1, 0, now.Add(time.Minute)), running("high", 1, 1, now.Add(time.Hour))
+
+		var g job.Grantor
+
+		d := job.NewDemand("a", "vm1/1", 8, nil, nil)
+
+		var c []job.Candidate
+		for _, j := range []*job.Job{late, soon, high} {
+			c = append(c, j.Candidates(8)...)
+		}
+
+		Convey("the higher priority comes first, then the earlier deadline", func() {
+			var ids []string
+			for _, o := range g.Choose(now, g.Offers(now, c, d, pause), d) {
+				ids = append(ids, o.Ref().Job)
+			}
+
+			So(ids, ShouldResemble, []string{"high", "soon", "late"})
+		})
+		Convey("a stopped job is not offered to the daemon that stopped it", func() {
+			So(g.Offers(now, high.Candidates(8), job.NewDemand("a", "vm1/1", 8, nil, []string{"high"}), pause), ShouldBeEmpty)
+		})
+		Convey("a released lease is offered at once", func() {
+			high.Grant(job.Lease{Job: "high", Holder: "vm2/1", DurationMS: lease.Milliseconds()}, 3)
+			So(g.Offers(now, high.Candidates(8), d, pause), ShouldBeEmpty)
+
+			v, _ := high.Lease(0)
+			g.Renew(now, job.Ref{Job: "high"}, v, true)
+			So(g.Offers(now, high.Candidates(8), d, pause), ShouldHaveLength, 1)
+		})
+	})
+
+	Convey("Given a job of 12 shards and two failure domains that ask for the same capacity", t, func() {
+		now := time.Unix(1000, 0)
+		j := running("j", 12, 0, now)
+		a, b := job.NewDemand("a", "vm1/1", 20, nil, nil), job.NewDemand("b", "vm2/1", 20, nil, nil)
+
+		var g job.Grantor
+
+		g.Choose(now, nil, a)
+
+		So(g.Choose(now, g.Offers(now, j.Candidates(64), b, pause), b), ShouldHaveLength, 6)
+		Convey("the first gets its share of the rest, and all of it once the other asks no more", func() {
+			So(g.Choose(now, g.Offers(now, j.Candidates(64), a, pause), a), ShouldHaveLength, 3)
+
+			now = now.Add(6 * time.Second)
+			So(g.Choose(now, g.Offers(now, j.Candidates(64), a, pause), a), ShouldHaveLength, 12)
+		})
+	})
+}
--- /dev/null
+++ b/job/holder_test.go
@@ -0,0 +1,146 @@
+package job_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agategap/agategap/job"
+)
+
+func shardOf(id string, items, attempts, priority int, idempotent bool) job.Shard {
+	s := job.Shard{Job: id, Lease: 1, DurationMS: lease.Milliseconds(), Idempotent: idempotent, MaxAttempts: attempts, Priority: priority}
+	for i := range items {
+		s.Items = append(s.Items, job.ShardItem{Index: uint32(i)})
+	}
+
+	return s
+}
+
+// Guards against a failing or slow item that holds up the others, and against one that is attempted for ever.
+func TestHolderRunsItemsAroundBadOnes(t *testing.T) {
+	Convey("Given a shard of three items", t, func() {
+		now := time.Unix(1000, 0)
+
+		var h job.Holder
+
+		So(h.Take(now, shardOf("j", 3, 2, 0, true)), ShouldBeTrue)
+
+		bad, _ := h.Next(now)
+
+		Convey("an item that never ends lets the others end and be reported", func() {
+			for range 2 {
+				k, ok := h.Next(now)
+				So(ok, ShouldBeTrue)
+				h.End(now, k, job.Succeeded, job.Result{})
+			}
+
+			r := h.Due(now.Add(job.ReportDelay))
+			So(r, ShouldHaveLength, 1)
+			So(r[0].Results, ShouldHaveLength, 2)
+			So(h.Answered(r[0], job.Renewal{Holds: true}), ShouldBeFalse)
+
+			Convey("and its lease is renewed while nothing ends", func() {
+				l := h.Due(now.Add(job.ReportDelay + job.RenewInterval))
+				So(l, ShouldHaveLength, 1)
+				So(l[0].Results, ShouldBeEmpty)
+			})
+		})
+		Convey("an item that fails goes behind the others, and ends as failed after its attempts", func() {
+			h.End(now, bad, job.Faulted, job.Result{Reason: "broken"})
+
+			next, _ := h.Next(now)
+			So(next.Index(), ShouldNotEqual, bad.Index())
+
+			now = now.Add(time.Minute)
+			_, _ = h.Next(now)
+			again, ok := h.Next(now)
+			So(ok, ShouldBeTrue)
+			So(again.Index(), ShouldEqual, bad.Index())
+			h.End(now, again, job.Faulted, job.Result{Reason: "broken"})
+
+			r := h.Due(now.Add(job.ReportDelay))[0].Results
+			So(r, ShouldHaveLength, 1)
+			So(r[0].Effect, ShouldEqual, job.Failed)
+			So(r[0].Attempts, ShouldEqual, 2)
+			So(r[0].Reason, ShouldEqual, "broken")
+		})
+		Convey("an item that its target will never accept ends at once", func() {
+			h.End(now, bad, job.Rejected, job.Result{})
+			So(h.Due(now.Add(job.ReportDelay))[0].Results[0].Effect, ShouldEqual, job.Failed)
+		})
+		Convey("an item for which there was no room uses up no attempt", func() {
+			for range 5 {
+				h.End(now, bad, job.Refused, job.Result{})
+
+				now = now.Add(time.Minute)
+
+				for k, ok := h.Next(now); ok; k, ok = h.Next(now) {
+					if k.Index() == bad.Index() {
+						bad = k
+					}
+				}
+			}
+
+			So(h.Load(), ShouldEqual, 3)
+			So(h.Due(now)[0].Tries, ShouldBeEmpty)
+			So(h.Due(now), ShouldBeEmpty)
+		})
+		Convey("attempts are reported, so that they count after a takeover", func() {
+			h.End(now, bad, job.Faulted, job.Result{})
+			So(h.Due(now.Add(job.RenewInterval))[0].Tries, ShouldResemble, []job.Try{{Index: bad.Index(), Attempts: 1}})
+		})
+	})
+}
+
+// Guards against a daemon that goes on with a job that was cancelled, taken over or stopped, or without anyone who
+// could tell it so.
+func TestHolderStops(t *testing.T) {
+	Convey("Given two shards", t, func() {
+		now := time.Unix(1000, 0)
+
+		var h job.Holder
+
+		h.Take(now, shardOf("low", 2, 2, 0, true))
+		h.Take(now, shardOf("high", 2, 2, 1, false))
+
+		k, _ := h.Next(now)
+		So(k.Ref().Job, ShouldEqual, "high")
+
+		Convey("a cancelled job is dropped, and what ends later has no effect", func() {
+			r := h.Due(now.Add(job.RenewInterval))
+			So(h.Answered(r[0], job.Renewal{Cancelled: true}), ShouldBeTrue)
+			h.End(now, k, job.Succeeded, job.Result{})
+			So(h.Held(), ShouldResemble, []job.Ref{{Job: "low"}})
+		})
+		Convey("a shard that is not renewed stops after the bound, and only then", func() {
+			So(h.Cutoff(now.Add(time.Minute), time.Minute), ShouldBeEmpty)
+			So(h.Cutoff(now.Add(time.Minute+1), time.Minute), ShouldHaveLength, 2)
+		})
+		Convey("a stopped job does not come back", func() {
+			So(h.Stop("low"), ShouldHaveLength, 1)
+			So(h.Take(now, shardOf("low", 2, 2, 0, true)), ShouldBeFalse)
+		})
+		Convey("items that may not run twice are not sent at the end of the lease", func() {
+			So(h.MayStart(now.Add(lease-2*time.Second), k.Ref(), time.Second), ShouldBeTrue)
+			So(h.MayStart(now.Add(lease-time.Second), k.Ref(), time.Second), ShouldBeFalse)
+		})
+		Convey("an amendment changes the order", func() {
+			for _, r := range h.Due(now.Add(job.RenewInterval)) {
+				h.Answered(r, job.Renewal{Holds: true, Priority: len(r.Job)}) // "high" gets 4, "low" 3
+			}
+
+			k, _ := h.Next(now)
+			So(k.Ref().Job, ShouldEqual, "high")
+		})
+		Convey("all results are given back with the leases", func() {
+			h.End(now, k, job.Uncertain, job.Result{})
+
+			l := h.Release(now)
+			So(l, ShouldHaveLength, 2)
+			So(len(l[0].Results)+len(l[1].Results), ShouldEqual, 1)
+			So(h.Held(), ShouldBeEmpty)
+		})
+	})
+}
