Test jobs over the loss, pause and cut-off of daemons

The tests run the controllers over a log in memory and peers in memory. They found that a writer that is cut off from the log granted itself the shards that it had stopped at the cut-off bound; grants now need a fresh read of the log, as renewals do.

--- a/controller/grant.go
+++ b/controller/grant.go
@@ -42,8 +42,8 @@
 	synced  time.Time
 }
 
-// syncInterval bounds the age of what a renewal says. A writer that is cut off from the log does not see a
-// cancellation, so it must not renew leases.
+// syncInterval bounds the age of what a renewal or a grant is based on. A writer that is cut off from the log does not
+// see a cancellation, so it must not renew leases.
 const syncInterval = time.Second
 
 // NewJobService returns the service.
@@ -104,6 +104,13 @@
 		return
 	}
 
+	// Without the log, a daemon that stopped its shards at the cut-off bound would grant them to itself again.
+	if err := s.sync(ctx, a.Partition); err != nil {
+		r.Failure = failureOf(err)
+
+		return
+	}
+
 	l := s.choose(a)
 	if len(l) == 0 {
 		return
--- /dev/null
+++ b/controller/system_test.go
@@ -0,0 +1,350 @@
+package controller_test
+
+import (
+	"context"
+	"fmt"
+	"reflect"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/agategap/agategap/appender"
+	"github.com/agategap/agategap/config"
+	"github.com/agategap/agategap/controller"
+	"github.com/agategap/agategap/filter"
+	"github.com/agategap/agategap/outcome"
+	"github.com/agategap/agategap/store"
+	"github.com/agategap/agategap/stream"
+	"github.com/agategap/agategap/tomlfile"
+	"github.com/agategap/agategap/wire"
+)
+
+const partitions = 4
+
+// memoryLog is an append-only log in memory.
+type memoryLog struct {
+	mu      sync.Mutex
+	streams map[string][]stream.Entry
+	changed chan struct{}
+}
+
+func newLog() *memoryLog {
+	return &memoryLog{streams: map[string][]stream.Entry{}, changed: make(chan struct{})}
+}
+
+func (l *memoryLog) Append(_ context.Context, name string, data []byte) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	o := int64(len(l.streams[name]) + 1)
+	l.streams[name] = append(l.streams[name], stream.NewEntry(o, time.Now(), data))
+	close(l.changed)
+	l.changed = make(chan struct{})
+
+	return o, nil
+}
+
+func (l *memoryLog) Read(ctx context.Context, name string, from int64, wait time.Duration) (stream.Page, error) {
+	for end := time.After(wait); ; {
+		l.mu.Lock()
+		s, ch := l.streams[name], l.changed
+		l.mu.Unlock()
+
+		p := stream.NewPage(nil, 1, int64(len(s)+1))
+		if from <= int64(len(s)) {
+			return stream.NewPage(s[from-1:], 1, int64(len(s)+1)), nil
+		}
+
+		if wait == 0 {
+			return p, nil
+		}
+
+		select {
+		case <-ch:
+		case <-end:
+			return p, nil
+		case <-ctx.Done():
+			return p, stream.ErrUnavailable
+		}
+	}
+}
+
+// cutLog is the log as one daemon sees it, which can be cut off.
+type cutLog struct {
+	*memoryLog
+
+	down atomic.Bool
+}
+
+func (l *cutLog) Append(ctx context.Context, name string, data []byte) (int64, error) {
+	if l.down.Load() {
+		return 0, stream.ErrRefused
+	}
+
+	return l.memoryLog.Append(ctx, name, data)
+}
+
+func (l *cutLog) Read(ctx context.Context, name string, from int64, wait time.Duration) (stream.Page, error) {
+	if l.down.Load() {
+		return stream.Page{}, stream.ErrUnavailable
+	}
+
+	return l.memoryLog.Read(ctx, name, from, wait)
+}
+
+// system has daemons that share a log and targets.
+type system struct {
+	log      *memoryLog
+	settings *settings
+	targets  *targets
+	skew     atomic.Int64
+
+	mu    sync.Mutex
+	peers []controller.Peer
+	nodes map[string]*node
+}
+
+func newSystem() *system {
+	return &system{log: newLog(), settings: newSettings(), targets: &targets{runs: map[string]int{}}, nodes: map[string]*node{}}
+}
+
+func (s *system) Peers() []controller.Peer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return append([]controller.Peer(nil), s.peers...)
+}
+
+func (s *system) clock() time.Time { return time.Now().Add(time.Duration(s.skew.Load())) }
+
+// pass lets time pass for the controllers.
+func (s *system) pass(d time.Duration) { s.skew.Add(int64(d)) }
+
+// node is a daemon.
+type node struct {
+	system   *system
+	vm       string
+	log      *cutLog
+	store    *store.Store
+	journal  *controller.Journal
+	jobs     *controller.Jobs
+	runner   *controller.Runner
+	services map[string]any
+	stop     context.CancelFunc
+	done     sync.WaitGroup
+	silent   atomic.Bool // calls to it are not answered
+	lossy    atomic.Bool // calls to it take effect and their answers are lost
+}
+
+// start starts a daemon. run says whether it runs items and accepted work.
+func (s *system) start(domain, vm string, run bool) *node {
+	n := &node{system: s, vm: vm, log: &cutLog{memoryLog: s.log}}
+	holder := vm + "/" + fmt.Sprint(time.Now().UnixNano())
+	n.store = store.New(n.log, wire.Groups{}, store.NewOptions(holder, partitions, appender.NewLimits(0, 0, time.Millisecond), time.Now))
+
+	s.mu.Lock()
+	s.peers = append(s.peers, controller.NewPeer(vm, vm, domain, "region"))
+	s.nodes[vm] = n
+	s.mu.Unlock()
+
+	f := controller.NewFollow(s, n.store, vm, partitions)
+	f.Refresh()
+
+	c := counter{}
+	routes := controller.NewRoutes(f, n, c)
+	local := controller.NewJournalService(n.store, partitions, c)
+	grants := controller.NewJobService(n.store, s.settings, f, s.clock, c)
+	n.services = map[string]any{"Journal": local, "Job": grants}
+	n.journal = controller.NewJournal(routes, local, n.store, c)
+	n.jobs = controller.NewJobs(n.journal, routes, grants, s.settings)
+	n.runner = controller.NewRunner(controller.NewRunnerParts(n.jobs, s.targets, s.targets, holder, domain, s.clock, c, zerolog.Nop()))
+	ids := func() string { return fmt.Sprintf("%s-%d", vm, time.Now().UnixNano()) }
+	a := controller.NewAccepted(controller.NewAcceptedParts(n.journal, s.settings, s.targets, s.targets, holder, ids, s.clock, c, zerolog.Nop()))
+
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	actors := []func(context.Context) error{f.Run, n.journal.Run}
+
+	if run {
+		actors = append(actors, n.runner.Run, a.Run)
+	}
+
+	for _, r := range actors {
+		n.done.Go(func() { _ = r(ctx) })
+	}
+
+	return n
+}
+
+// kill loses a daemon at once: nobody reaches it and it reaches nobody.
+func (n *node) kill() {
+	n.silent.Store(true)
+	n.log.down.Store(true)
+	n.system.remove(n.vm)
+	n.stop()
+	n.store.Stop()
+}
+
+func (s *system) remove(vm string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	var l []controller.Peer
+
+	for _, p := range s.peers {
+		if p.VM() != vm {
+			l = append(l, p)
+		}
+	}
+
+	s.peers = l
+}
+
+func (s *system) stop() {
+	for _, n := range s.nodes {
+		n.stop()
+	}
+
+	for _, n := range s.nodes {
+		n.done.Wait()
+		n.store.Stop()
+	}
+}
+
+// Call calls a method of another daemon, through the encoding of messages.
+func (n *node) Call(ctx context.Context, address, method string, args, reply any) error {
+	n.system.mu.Lock()
+	to := n.system.nodes[address]
+	n.system.mu.Unlock()
+
+	if to.silent.Load() || n.silent.Load() {
+		return outcome.New(outcome.LogUnavailable, outcome.NotRun, "not reachable")
+	}
+
+	name, m, _ := strings.Cut(method, ".")
+	f := reflect.ValueOf(to.services[name]).MethodByName(m)
+	a, r := reflect.New(f.Type().In(0)), reflect.New(f.Type().In(1).Elem())
+
+	if err := recode(args, a.Interface()); err != nil {
+		return err
+	}
+
+	f.Call([]reflect.Value{a.Elem(), r})
+
+	if to.lossy.Load() || ctx.Err() != nil {
+		return outcome.New(outcome.LogUnavailable, outcome.Unknown, "the answer was lost")
+	}
+
+	return recode(r.Interface(), reply)
+}
+
+func recode(from, to any) error {
+	b, err := wire.Marshal(from)
+	if err != nil {
+		return err
+	}
+
+	return wire.Unmarshal(b, to)
+}
+
+type counter struct{}
+
+func (counter) Count(string, int64) {}
+
+// targets run items. They know every request identifier that they ran.
+type targets struct {
+	mu   sync.Mutex
+	runs map[string]int
+	do   func(ctx context.Context, r *filter.Request) error
+}
+
+func (t *targets) Handle(ctx context.Context, r *filter.Request, s filter.Sink) error {
+	t.mu.Lock()
+	t.runs[r.ID()]++
+	do := t.do
+	t.mu.Unlock()
+
+	if do != nil {
+		if err := do(ctx, r); err != nil {
+			return err
+		}
+	}
+
+	_ = s.Emit(filter.NewHead(r.ID(), 200, "application/json"))
+	_ = s.Emit(filter.NewChunk(r.ID(), 0, []byte(`{"ok":true}`), ""))
+
+	return s.Emit(filter.NewEnd(r.ID(), "", 0, 0))
+}
+
+func (t *targets) Find(_ context.Context, _, id string) (filter.Answer, bool, error) {
+	return filter.NewAnswer(200, "application/json", []byte(`{"found":true}`)), t.count(id) > 0, nil
+}
+
+func (t *targets) count(id string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	return t.runs[id]
+}
+
+// each returns how often the request that ran most often ran, and the number of requests.
+func (t *targets) each() (most, requests int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	for _, n := range t.runs {
+		most = max(most, n)
+	}
+
+	return most, len(t.runs)
+}
+
+func (t *targets) set(do func(ctx context.Context, r *filter.Request) error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.do = do
+}
+
+// settings are a configuration with the services "text", which may be repeated, and "bill", which may not.
+type settings struct {
+	ledger config.Ledger
+}
+
+func newSettings() *settings {
+	t, err := config.Format(config.Document{
+		Batch: config.BatchSettings{
+			ShardItems: 5, MaxAttempts: 3, Lease: tomlfile.NewDuration(2 * time.Second),
+			PauseBound: tomlfile.NewDuration(time.Second), CutoffRunBound: tomlfile.NewDuration(10 * time.Second),
+		},
+		Services: []config.ServiceRecord{{Name: "text", Kind: config.KindEngine, Idempotent: true}, {Name: "bill", Kind: config.KindPlain, Lookup: true}},
+	})
+	if err != nil {
+		panic(err)
+	}
+
+	s := &settings{}
+	if _, err := s.ledger.Apply(1, config.Version{Text: t}); err != nil {
+		panic(err)
+	}
+
+	return s
+}
+
+func (s *settings) InForce() config.InForce { return s.ledger.InForce() }
+
+func (s *settings) Service(name string) (filter.Service, bool) {
+	for _, v := range s.InForce().Document().Services {
+		if v.Name == name {
+			return filter.NewService(filter.ServiceSettings{
+				Name: name, Plain: v.Kind == config.KindPlain, Idempotent: v.Idempotent, Lookup: v.Lookup,
+				Deadline: v.Deadline.Value(), MaxAttempts: v.MaxAttempts, RetainResults: time.Hour,
+			}), true
+		}
+	}
+
+	return filter.Service{}, false
+}
