--- /dev/null
+++ b/controller/work_test.go
@@ -0,0 +1,193 @@
+package controller_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agategap/agategap/filter"
+	"github.com/agategap/agategap/journal"
+	"github.com/agategap/agategap/outcome"
+)
+
+// accept returns the records of accepted work.
+func accept(k journal.Key, service string, async bool, claim, holder string) []journal.Record {
+	idempotent := service == "text"
+	kind := filter.Plain
+
+	if idempotent {
+		kind = filter.Chat
+	}
+
+	r := []journal.Record{{Accept: &journal.Accept{
+		Account: k.Account(), Key: k.Key(), Service: service, Path: "/run", Kind: uint8(kind), Idempotent: idempotent,
+		Async: async, Body: []byte("{}"), DeadlineMS: time.Now().Add(time.Minute).UnixMilli(), RetainMS: 3_600_000,
+	}}}
+
+	if claim != "" {
+		r = append(r, journal.Record{Claim: &journal.Claim{Account: k.Account(), Key: k.Key(), ID: claim, Holder: holder}})
+	}
+
+	return r
+}
+
+func within(d time.Duration) context.Context {
+	x, stop := context.WithTimeout(context.Background(), d)
+	time.AfterFunc(d, stop)
+
+	return x
+}
+
+// Guards against accepted work that is lost with its daemon, and against work that may not run twice being sent again.
+func TestAcceptedWorkEndsWithoutItsDaemon(t *testing.T) {
+	Convey("Given daemons of three failure domains, of which one only accepts", t, func() {
+		s := newSystem()
+		a, b := s.start("one", "vm-a", false), s.start("two", "vm-b", true)
+		s.start("three", "vm-c", true)
+		Reset(s.stop)
+
+		// Only daemons that run accepted work write, as the acceptor is about to be lost.
+		lose := func() {
+			a.kill()
+			s.pass(6 * time.Second)
+		}
+		await := func(k journal.Key) journal.Complete {
+			for range 10 {
+				s.pass(2 * time.Second)
+
+				if w, err := b.journal.Await(within(time.Second), k); err == nil {
+					return w.Result()
+				}
+			}
+
+			return journal.Complete{}
+		}
+
+		Convey("an asynchronous request whose daemon is lost right after the acknowledgement runs once", func() {
+			k := journal.NewKey("a", "async")
+			_, err := a.journal.Submit(within(5*time.Second), k, accept(k, "bill", true, "", "")...)
+			So(err, ShouldBeNil)
+			lose()
+
+			So(await(k).Effect, ShouldEqual, journal.Done)
+
+			most, requests := s.targets.each()
+			So(most, ShouldEqual, 1)
+			So(requests, ShouldEqual, 1)
+		})
+		Convey("work that may run again is run by another daemon", func() {
+			k := journal.NewKey("a", "again")
+			_, err := a.journal.Submit(within(5*time.Second), k, accept(k, "text", false, "claim-1", "vm-a/1")...)
+			So(err, ShouldBeNil)
+			lose()
+
+			So(await(k).Effect, ShouldEqual, journal.Done)
+		})
+		Convey("work that may not run again is looked up, and ends as unknown when no target knows it", func() {
+			for claim, effect := range map[string]journal.Effect{"claim-known": journal.Done, "claim-unknown": journal.Unknown} {
+				k := journal.NewKey("a", claim)
+				_, err := a.journal.Submit(within(5*time.Second), k, accept(k, "bill", false, claim, "vm-a/1")...)
+				So(err, ShouldBeNil)
+
+				if effect == journal.Done {
+					s.targets.runs[claim] = 1
+				}
+			}
+
+			lose()
+			So(await(journal.NewKey("a", "claim-known")).Effect, ShouldEqual, journal.Done)
+			So(await(journal.NewKey("a", "claim-unknown")).Effect, ShouldEqual, journal.Unknown)
+
+			_, requests := s.targets.each()
+			So(requests, ShouldEqual, 1)
+		})
+		Convey("work whose holder is among the peers and in time is left alone", func() {
+			k := journal.NewKey("a", "held")
+			_, err := a.journal.Submit(within(5*time.Second), k, accept(k, "text", false, "claim-2", "vm-c/other")...)
+			So(err, ShouldBeNil)
+			time.Sleep(1200 * time.Millisecond)
+
+			w, _, err := b.journal.Find(within(time.Second), k)
+			So(err, ShouldBeNil)
+			So(w.Ended() && w.Claim() == "claim-2", ShouldBeFalse)
+		})
+	})
+}
+
+// Guards against "not run" for records that took effect, and against a daemon that gives up while it reaches the log.
+func TestRecordsReachTheLogThroughAnyFollower(t *testing.T) {
+	Convey("Given a daemon that does not follow a partition, and its two followers", t, func() {
+		s := newSystem()
+		b, c := s.start("two", "vm-b", false), s.start("three", "vm-c", false)
+		Reset(s.stop)
+
+		a := s.start("one", "vm-a", false)
+		k := journal.NewKey("a", "k")
+
+		for n := 0; slices.Contains(a.store.Followed(), a.store.Partition(k.String())); n++ {
+			k = journal.NewKey("a", fmt.Sprint(n))
+		}
+
+		submit := func() (journal.Work, error) {
+			return a.journal.Submit(within(2*time.Second), k, accept(k, "bill", false, "claim-1", "vm-a/1")...)
+		}
+
+		Convey("a record whose confirmation is lost is found through the log", func() {
+			b.lossy.Store(true)
+			c.lossy.Store(true)
+
+			w, err := submit()
+			So(err, ShouldBeNil)
+			So(w.Claim(), ShouldEqual, "claim-1")
+		})
+		Convey("a record that may still be queued at a follower is not reported as not run", func() {
+			b.log.down.Store(true)
+			c.log.down.Store(true)
+			a.log.down.Store(true)
+			b.lossy.Store(true)
+			c.lossy.Store(true)
+
+			_, err := submit()
+			So(err, ShouldNotBeNil)
+			So(outcome.From(err).Effect(), ShouldEqual, outcome.Unknown)
+		})
+		Convey("without a follower that can be reached the daemon follows the partition itself", func() {
+			b.silent.Store(true)
+			c.silent.Store(true)
+
+			w, err := submit()
+			So(err, ShouldBeNil)
+			So(w.Claim(), ShouldEqual, "claim-1")
+			So(a.store.Followed(), ShouldContain, a.store.Partition(k.String()))
+		})
+		Convey("without the log nothing is recorded, and that is said", func() {
+			a.log.down.Store(true)
+			b.silent.Store(true)
+			c.silent.Store(true)
+
+			_, err := submit()
+			So(outcome.From(err).Effect(), ShouldEqual, outcome.NotRun)
+		})
+		Convey("a queued completion is recorded once followers can be reached again", func() {
+			_, err := submit()
+			So(err, ShouldBeNil)
+
+			a.log.down.Store(true)
+			b.silent.Store(true)
+			c.silent.Store(true)
+			a.journal.Enqueue(k, journal.Record{Complete: &journal.Complete{Account: "a", Key: k.Key(), Claim: "claim-1", Effect: journal.Done}})
+			time.Sleep(300 * time.Millisecond)
+			So(a.journal.Queued(), ShouldEqual, 1)
+			b.silent.Store(false)
+			c.silent.Store(false)
+
+			w, err := b.journal.Await(within(5*time.Second), k)
+			So(err, ShouldBeNil)
+			So(w.Result().Effect, ShouldEqual, journal.Done)
+		})
+	})
+}
