--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -77,6 +77,7 @@
 func (j *Jobs) carry(ctx context.Context, p int, s JobSpec) error {
 	var r []journal.Record
 
+	digest := s.Digest()
 	carried := 0
 
 	for first := 0; first < len(s.items); {
@@ -86,7 +87,7 @@
 			n++
 		}
 
-		r = append(r, journal.Record{Items: &job.Items{Job: s.ID(), First: first, Items: s.items[first : first+n]}})
+		r = append(r, journal.Record{Items: &job.Items{Job: s.ID(), Digest: digest, First: first, Items: s.items[first : first+n]}})
 		first += n
 		carried += size
 
@@ -99,7 +100,7 @@
 		}
 	}
 
-	return j.journal.Append(ctx, p, append(r, journal.Record{Submit: &job.Submit{Job: s.ID()}})...)
+	return j.journal.Append(ctx, p, append(r, journal.Record{Submit: &job.Submit{Job: s.ID(), Digest: digest}})...)
 }
 
 // Status returns the state of an account's job, after replaying what was recorded before the call.
--- a/daemon/adapt.go
+++ b/daemon/adapt.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 
+	"github.com/agategap/agategap/config"
 	"github.com/agategap/agategap/controller"
 	"github.com/agategap/agategap/platform"
+	"github.com/agategap/agategap/shard"
+	"github.com/agategap/agategap/wire"
 )
 
 // machines gives the platform's list to the controllers.
@@ -33,3 +36,33 @@
 
 	return r, nil
 }
+
+// republisher appends the configuration again. The first entry VM by rendezvous hashing does it; copies by two VMs
+// whose lists differ have no effect.
+type republisher struct {
+	client  *platform.Client
+	targets *controller.Targets
+	vm      string
+}
+
+// Elected reports whether this VM is the first one on the list that it knows.
+func (r republisher) Elected() bool {
+	n := []string{r.vm}
+	for _, p := range r.targets.Peers() {
+		n = append(n, p.VM())
+	}
+
+	return shard.First(controller.ConfigStream, n) == r.vm
+}
+
+// Republish appends v.
+func (r republisher) Republish(ctx context.Context, v config.Version) error {
+	b, err := (wire.Versions{}).EncodeVersion(v)
+	if err != nil {
+		return err
+	}
+
+	_, err = r.client.Append(ctx, controller.ConfigStream, b)
+
+	return err
+}
