Complete settings checks and generate configurations from questionnaires

Cause: a share of 0 was replaced by its default, a value of a wrong type hid all other findings, inline tables had no lines, and nothing generated a configuration.

Change: tomlfile indexes inline tables and arrays and reports every value of a wrong type; defaults are set by the presence of a key; settings have TLS files and timeouts; package answers and the command generate; check finds out the kind of a file. A service names the targets that run it, so that flows with different promises share targets.

--- /dev/null
+++ b/answers/answers.go
@@ -0,0 +1,337 @@
+// Package answers generates a configuration from a questionnaire about callers, deadlines and harm. Every setting
+// names the answer that caused it. It does no input or output.
+package answers
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/agategap/agategap/config"
+	"github.com/agategap/agategap/finding"
+	"github.com/agategap/agategap/tomlfile"
+)
+
+// Values of the answers.
+const (
+	Online = "online"
+	Batch  = "batch"
+	Refuse = "refuse"
+	Hold   = "hold"
+	None   = "none"
+	Minor  = "minor"
+	Severe = "severe"
+)
+
+// Reason is why a setting has its value.
+type Reason struct {
+	setting string
+	value   string
+	file    string
+	line    int
+	answer  string
+	text    string
+}
+
+// Setting returns the dotted key in the configuration.
+func (r Reason) Setting() string { return r.setting }
+
+// Value returns the value as text.
+func (r Reason) Value() string { return r.value }
+
+// Answer returns the dotted key of the answer that caused it.
+func (r Reason) Answer() string { return r.answer }
+
+// Line returns the line of the answer.
+func (r Reason) Line() int { return r.line }
+
+// String returns setting = value, then the place of the answer and the rule.
+func (r Reason) String() string {
+	return fmt.Sprintf("%s = %s  # %s:%d: %s: %s", r.setting, r.value, r.file, r.line, r.answer, r.text)
+}
+
+// Result is a generated configuration.
+type Result struct {
+	document config.Document
+	reasons  []Reason
+}
+
+// Document returns the configuration.
+func (r Result) Document() config.Document { return r.document }
+
+// Reasons returns why each setting has its value, in the order of the settings.
+func (r Result) Reasons() []Reason { return r.reasons }
+
+// Generate reads a questionnaire and generates the configuration. The error is a *finding.List with everything that
+// is wrong, contradictory or impossible.
+func Generate(file string, b []byte) (Result, error) {
+	var q Questionnaire
+
+	var l finding.List
+
+	x := tomlfile.Decode(file, b, &q, &l)
+	if x.Complete() {
+		q.setDefaults(x)
+		q.check(x, &l)
+	}
+
+	if l.Err() != nil {
+		return Result{}, l.Err()
+	}
+
+	g := generator{index: x, questions: q}
+	g.run()
+
+	return Result{document: g.document, reasons: g.reasons}, nil
+}
+
+type generator struct {
+	index     tomlfile.Index
+	questions Questionnaire
+	document  config.Document
+	reasons   []Reason
+}
+
+func (g *generator) becausef(setting string, value any, answer, format string, a ...any) {
+	v := fmt.Sprint(value)
+
+	switch t := value.(type) {
+	case tomlfile.Duration:
+		v = t.Value().String()
+	case string:
+		v = fmt.Sprintf("%q", t)
+	}
+
+	g.reasons = append(g.reasons, Reason{
+		setting: setting, value: v, file: g.index.File(), line: g.index.Line(answer), answer: answer, text: fmt.Sprintf(format, a...),
+	})
+}
+
+func (g *generator) run() {
+	g.document = config.Default()
+	g.bounds()
+	g.batch()
+
+	for i, c := range g.questions.Callers {
+		k := fmt.Sprintf("accounts[%d]", i)
+		a := fmt.Sprintf("callers[%d]", i)
+		g.document.Accounts = append(g.document.Accounts, config.AccountRecord{Name: c.Name, KeyHashes: c.KeyHashes, Concurrency: c.Concurrency})
+		g.becausef(k+".name", c.Name, a+".name", "each caller is an account")
+		g.becausef(k+".key_hashes", c.KeyHashes, a+".key_hashes", "the caller's keys")
+		g.becausef(k+".concurrency", c.Concurrency, a+".concurrency", "the caller's limit")
+	}
+
+	for i, f := range g.questions.Flows {
+		g.document.Services = append(g.document.Services, g.service(i, f))
+	}
+}
+
+const (
+	// partitionsPerVM gives every entry VM a part of the journal to write.
+	partitionsPerVM = 2
+	// recordWaitShare of a deadline may pass while a request waits for the log, so that most of it is left to run.
+	recordWaitShare = 4
+	leastRecordWait = 50 * time.Millisecond
+	mostRecordWait  = 2 * time.Second
+)
+
+func (g *generator) bounds() {
+	p, s, d := g.questions.Platform, g.questions.Shortage, &g.document
+
+	d.Bounds.SpillShare, d.Bounds.RetryShare = s.OtherDomains, s.Repeats
+	d.Bounds.SlowShare, d.Batch.AtRiskShare = s.SlowTargets, s.LateBatches
+	g.becausef("bounds.spill_share", s.OtherDomains, "shortage.other_domains", "the answer")
+	g.becausef("bounds.retry_share", s.Repeats, "shortage.repeats", "the answer")
+	g.becausef("bounds.slow_share", s.SlowTargets, "shortage.slow_targets", "the answer")
+	g.becausef("batch.at_risk_share", s.LateBatches, "shortage.batches_at_risk", "the answer")
+
+	d.Partitions = 1
+	for d.Partitions < min(config.MaxPartitions, partitionsPerVM*len(p.FailureDomains)*p.EntryVMsPerDomain) {
+		d.Partitions *= 2
+	}
+
+	g.becausef("partitions", d.Partitions, "platform.entry_vms_per_domain",
+		"the next power of two of %d partitions for each of %d entry VMs", partitionsPerVM, len(p.FailureDomains)*p.EntryVMsPerDomain)
+
+	wait, from := mostRecordWait, "platform.log_retention"
+
+	for i, f := range g.questions.Flows {
+		if f.recorded() && f.Form == Online && f.Deadline.Value()/recordWaitShare < wait {
+			wait, from = max(leastRecordWait, f.Deadline.Value()/recordWaitShare), fmt.Sprintf("flows[%d].deadline", i)
+		}
+	}
+
+	d.Bounds.RecordWait = tomlfile.NewDuration(wait)
+	g.becausef("bounds.record_wait", d.Bounds.RecordWait, from, "a quarter of the shortest deadline of recorded online work, %s to %s", leastRecordWait, mostRecordWait)
+}
+
+const (
+	// shardsPerDomain lets the failure domains finish a job at about the same time.
+	shardsPerDomain = 16
+	leastShardItems = 20
+	mostShardItems  = 1000
+)
+
+func (g *generator) batch() {
+	p, b := g.questions.Platform, &g.document.Batch
+
+	b.PauseBound, b.Lease = p.LongestPause, p.LongestPause
+	g.becausef("batch.pause_bound", b.PauseBound, "platform.longest_pause", "a holder that pauses for this long may still come back")
+
+	if b.Lease.Value() < time.Second {
+		b.Lease = tomlfile.NewDuration(time.Second)
+	}
+
+	g.becausef("batch.lease", b.Lease, "platform.longest_pause", "a pause is not taken for a loss; at least 1s")
+
+	items, from := 0, ""
+
+	for i, f := range g.questions.Flows {
+		if f.Form != Batch {
+			continue
+		}
+
+		k := fmt.Sprintf("flows[%d]", i)
+		if f.Items > items {
+			items, from = f.Items, k+".items"
+		}
+
+		g.shorter("batch.cutoff_run_bound", &b.CutoffRunBound, f.CancelWithin, k+".cancel_within", "the shortest answer of all batch flows")
+	}
+
+	if items == 0 {
+		return
+	}
+
+	b.ShardItems = min(mostShardItems, max(leastShardItems, items/(shardsPerDomain*len(p.FailureDomains))))
+	g.becausef("batch.shard_items", b.ShardItems, from, "%d shards for each failure domain in the largest job, %d to %d items", shardsPerDomain, leastShardItems, mostShardItems)
+
+	longest := b.Retain
+
+	for i, f := range g.questions.Flows {
+		if f.Form == Batch && f.ResultsReadable.Value() >= longest.Value() {
+			longest = f.ResultsReadable
+			g.replace("batch.retain", longest, fmt.Sprintf("flows[%d].results_readable", i), "the longest answer of all batch flows")
+		}
+	}
+
+	b.Retain = longest
+}
+
+// shorter takes a shorter value and records its reason; the first value always counts.
+func (g *generator) shorter(setting string, p *tomlfile.Duration, v tomlfile.Duration, answer, text string) {
+	if g.has(setting) && v.Value() >= p.Value() {
+		return
+	}
+
+	*p = v
+	g.replace(setting, v, answer, text)
+}
+
+func (g *generator) has(setting string) bool {
+	for _, r := range g.reasons {
+		if r.setting == setting {
+			return true
+		}
+	}
+
+	return false
+}
+
+// replace records a reason in place of an earlier one of the same setting.
+func (g *generator) replace(setting string, v tomlfile.Duration, answer, text string) {
+	for i, r := range g.reasons {
+		if r.setting == setting {
+			g.reasons = append(g.reasons[:i], g.reasons[i+1:]...)
+
+			break
+		}
+	}
+
+	g.becausef(setting, v, answer, "%s", text)
+}
+
+const (
+	// idleShare of a deadline may pass in silence, so that a resumed stream can still end in time.
+	idleShare      = 4
+	leastIdleBound = 100 * time.Millisecond
+	mostIdleBound  = 2 * time.Second
+	repeatAttempts = 3
+)
+
+func (g *generator) service(i int, f FlowAnswers) config.ServiceRecord {
+	k, a := fmt.Sprintf("services[%d]", i), fmt.Sprintf("flows[%d]", i)
+	t, at := g.questions.target(f.Targets)
+	ta := fmt.Sprintf("targets[%d]", at)
+	s := config.DefaultService()
+
+	s.Name, s.Targets, s.Kind, s.Lookup = f.Name, f.Targets, t.Kind, t.TellsIfRan
+	g.becausef(k+".name", s.Name, a+".name", "each flow is a service")
+	g.becausef(k+".targets", s.Targets, a+".targets", "the flow's targets")
+	g.becausef(k+".kind", s.Kind, ta+".kind", "the kind of its targets")
+	g.becausef(k+".lookup", s.Lookup, ta+".tells_if_ran", "the answer")
+
+	s.Idempotent = f.MayRepeat
+	g.becausef(k+".idempotent", s.Idempotent, a+".may_repeat", "the answer")
+
+	s.Record = f.recorded()
+
+	switch {
+	case !f.MayRepeat:
+		g.becausef(k+".record", s.Record, a+".may_repeat", "work that may not run twice is recorded before it is sent")
+	case f.CallerWaits:
+		g.becausef(k+".record", s.Record, a+".caller_waits", "a caller that waits sends lost work again")
+	default:
+		g.becausef(k+".record", s.Record, a+".harm.lost", "work is recorded when its loss does severe harm and nobody waits for it")
+	}
+
+	s.HoldOnOutage = f.DuringLogOutage == Hold
+	g.becausef(k+".hold_on_outage", s.HoldOnOutage, a+".during_outage", "the answer")
+
+	s.Deadline = f.Deadline
+	g.becausef(k+".deadline", s.Deadline, a+".deadline", "the answer")
+
+	s.MaxAttempts = 1
+	if f.MayRepeat {
+		s.MaxAttempts = repeatAttempts
+	}
+
+	g.becausef(k+".max_attempts", s.MaxAttempts, a+".may_repeat", "%d where work may be repeated, else 1", repeatAttempts)
+	g.hedge(&s, k, a, f)
+
+	s.IdleBound = tomlfile.NewDuration(min(mostIdleBound, max(leastIdleBound, f.Deadline.Value()/idleShare)))
+	g.becausef(k+".idle_bound", s.IdleBound, a+".deadline", "a quarter of the deadline, %s to %s", leastIdleBound, mostIdleBound)
+
+	s.RetainResults = f.ResultsReadable
+	g.becausef(k+".retain_results", s.RetainResults, a+".results_readable", "the answer")
+
+	return s
+}
+
+func (g *generator) hedge(s *config.ServiceRecord, k, a string, f FlowAnswers) {
+	switch {
+	case !f.MayRepeat:
+		g.becausef(k+".hedge", false, a+".may_repeat", "work that may not run twice is never hedged")
+	case f.Hedge != nil:
+		s.Hedge = *f.Hedge
+		g.becausef(k+".hedge", s.Hedge, a+".hedge", "the answer")
+	default:
+		s.Hedge = f.Form == Online && f.Harm.Late == Severe
+		g.becausef(k+".hedge", s.Hedge, a+".harm.late", "online work is hedged when lateness does severe harm")
+	}
+}
+
+// recorded reports whether the log has the work before it is sent. A caller that waits notices a loss and sends the
+// work again, so that work needs no record and continues while the log is down.
+func (f FlowAnswers) recorded() bool {
+	return !f.MayRepeat || f.Harm.Lost == Severe && !f.CallerWaits
+}
+
+func (q Questionnaire) target(name string) (TargetAnswers, int) {
+	for i, t := range q.Targets {
+		if t.Name == name {
+			return t, i
+		}
+	}
+
+	return TargetAnswers{}, -1
+}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -101,7 +101,7 @@
 
 // Acquire returns a slot of a target that is not excluded.
 func (p *Pool) Acquire(_ context.Context, r *filter.Request, exclude []string) (filter.Slot, error) {
-	h := p.shard(r.ServiceName())
+	h := p.shard(r.TargetService())
 
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/config/check.go
+++ b/config/check.go
@@ -17,6 +17,10 @@
 	MaxPartitions  = 4096
 	MaxShardItems  = 10_000
 	MaxAttempts    = 20
+	MaxConcurrency = 1_000_000
+	MaxBodyBytes   = 1 << 20   // one request
+	MaxBatchBytes  = 64 << 20  // one batch body
+	MaxLineBytes   = 256 << 10 // one item of a batch body
 	longestTime    = 30 * 24 * time.Hour
 	longestRequest = time.Hour
 	hashBytes      = 32
@@ -29,46 +33,75 @@
 	var l finding.List
 
 	x := tomlfile.Decode(file, b, &d, &l)
-	if l.Err() == nil {
-		d.setDefaults()
+	if x.Complete() {
+		d.setDefaults(x.Has)
 		d.check(x, &l)
 	}
 
 	return d, l.Err()
 }
 
-// Format returns the document as TOML, with every default spelled out.
+// Default returns a document without services that has the default of every setting.
+func Default() Document {
+	var d Document
+
+	d.setDefaults(nothing)
+
+	return d
+}
+
+// DefaultService returns a service with the default of every setting.
+func DefaultService() ServiceRecord {
+	var s ServiceRecord
+
+	s.setDefaults("", nothing)
+
+	return s
+}
+
+// Format returns a document built in code as TOML. A setting of 0 gets its default; Marshal keeps it.
 func Format(d Document) ([]byte, error) {
 	d.Services = slices.Clone(d.Services)
-	d.setDefaults()
+	d.setDefaults(nothing)
 
 	return toml.Marshal(d)
 }
 
-func (d *Document) setDefaults() {
-	setDuration(&d.Bounds.RecordWait, 300*time.Millisecond)
-	setDuration(&d.Bounds.LeavingBound, 3*time.Second)
-	setDuration(&d.Batch.Lease, 10*time.Second)
-	setDuration(&d.Batch.PauseBound, 10*time.Second)
-	setDuration(&d.Batch.CutoffRunBound, time.Minute)
-	setDuration(&d.Batch.Retain, 24*time.Hour)
-	setInt(&d.Partitions, 16)
-	setInt(&d.Batch.ShardItems, 200)
-	setInt(&d.Batch.MaxAttempts, 4)
-	setFloat(&d.Bounds.SpillShare, 0.2)
-	setFloat(&d.Bounds.RetryShare, 0.1)
-	setFloat(&d.Bounds.SlowShare, 0.3)
-	setFloat(&d.Batch.AtRiskShare, 0.1)
+// Marshal returns the document as TOML with exactly its values.
+func Marshal(d Document) ([]byte, error) { return toml.Marshal(d) }
+
+// nothing is the presence of keys of a document that was not decoded.
+func nothing(string) bool { return false }
+
+// setDefaults sets every setting that is absent from the document. A setting that is written keeps its value, also
+// when that is 0.
+func (d *Document) setDefaults(has func(key string) bool) {
+	setDefault(has, "bounds.record_wait", &d.Bounds.RecordWait, tomlfile.NewDuration(300*time.Millisecond))
+	setDefault(has, "bounds.leaving_bound", &d.Bounds.LeavingBound, tomlfile.NewDuration(3*time.Second))
+	setDefault(has, "batch.lease", &d.Batch.Lease, tomlfile.NewDuration(10*time.Second))
+	setDefault(has, "batch.pause_bound", &d.Batch.PauseBound, tomlfile.NewDuration(10*time.Second))
+	setDefault(has, "batch.cutoff_run_bound", &d.Batch.CutoffRunBound, tomlfile.NewDuration(time.Minute))
+	setDefault(has, "batch.retain", &d.Batch.Retain, tomlfile.NewDuration(24*time.Hour))
+	setDefault(has, "partitions", &d.Partitions, 16)
+	setDefault(has, "batch.shard_items", &d.Batch.ShardItems, 200)
+	setDefault(has, "batch.max_attempts", &d.Batch.MaxAttempts, 4)
+	setDefault(has, "bounds.spill_share", &d.Bounds.SpillShare, 0.2)
+	setDefault(has, "bounds.retry_share", &d.Bounds.RetryShare, 0.1)
+	setDefault(has, "bounds.slow_share", &d.Bounds.SlowShare, 0.3)
+	setDefault(has, "batch.at_risk_share", &d.Batch.AtRiskShare, 0.1)
 
 	for i := range d.Services {
-		s := &d.Services[i]
-		setDuration(&s.Deadline, 30*time.Second)
-		setDuration(&s.IdleBound, 2*time.Second)
-		setDuration(&s.RetainResults, 24*time.Hour)
-		setInt(&s.MaxAttempts, 3)
+		d.Services[i].setDefaults(fmt.Sprintf("services[%d].", i), has)
 	}
 }
 
+func (s *ServiceRecord) setDefaults(prefix string, has func(key string) bool) {
+	setDefault(has, prefix+"deadline", &s.Deadline, tomlfile.NewDuration(30*time.Second))
+	setDefault(has, prefix+"idle_bound", &s.IdleBound, tomlfile.NewDuration(2*time.Second))
+	setDefault(has, prefix+"retain_results", &s.RetainResults, tomlfile.NewDuration(24*time.Hour))
+	setDefault(has, prefix+"max_attempts", &s.MaxAttempts, 3)
+}
+
 func (d *Document) check(x tomlfile.Index, l *finding.List) {
 	count(x, l, "partitions", d.Partitions, MaxPartitions)
 	d.checkBounds(x, l)
@@ -115,8 +148,8 @@
 func (a AccountRecord) check(x tomlfile.Index, l *finding.List, key string, names map[string]bool, hashes map[string]string) {
 	checkName(x, l, key+".name", a.Name, names)
 
-	if a.Concurrency < 0 {
-		x.Addf(l, key+".concurrency", "%d is below 0", a.Concurrency)
+	if a.Concurrency < 0 || a.Concurrency > MaxConcurrency {
+		x.Addf(l, key+".concurrency", "%d is outside 0 to %d", a.Concurrency, MaxConcurrency)
 	}
 
 	for _, h := range a.KeyHashes {
@@ -178,20 +211,10 @@
 	}
 }
 
-func setInt(p *int, v int) {
-	if *p == 0 {
+// setDefault sets a value whose key is absent. A value that code has set already is kept.
+func setDefault[T comparable](has func(key string) bool, key string, p *T, v T) {
+	var zero T
+	if !has(key) && *p == zero {
 		*p = v
 	}
 }
-
-func setFloat(p *float64, v float64) {
-	if *p == 0 {
-		*p = v
-	}
-}
-
-func setDuration(p *tomlfile.Duration, v time.Duration) {
-	if *p == (tomlfile.Duration{}) {
-		*p = tomlfile.NewDuration(v)
-	}
-}
--- a/config/record.go
+++ b/config/record.go
@@ -42,6 +42,7 @@
 // ServiceRecord is a service.
 type ServiceRecord struct {
 	Name          string            `toml:"name"`
+	Targets       string            `toml:"targets"`        // the platform's service whose targets run it, and the model that engines know; the name when empty
 	Kind          string            `toml:"kind"`           // "engine" or "plain"
 	Idempotent    bool              `toml:"idempotent"`     // work may be run again
 	Record        bool              `toml:"record"`         // work is recorded before it is dispatched
--- a/controller/config.go
+++ b/controller/config.go
@@ -120,6 +120,7 @@
 func service(v config.ServiceRecord) filter.Service {
 	return filter.NewService(filter.ServiceSettings{
 		Name:          v.Name,
+		Targets:       v.Targets,
 		Plain:         v.Kind == config.KindPlain,
 		Idempotent:    v.Idempotent,
 		Record:        v.Record,
--- a/filter/model.go
+++ b/filter/model.go
@@ -29,6 +29,7 @@
 // ServiceSettings are the values of a Service.
 type ServiceSettings struct {
 	Name          string        // name that callers use
+	Targets       string        // service of the platform's list whose targets run it; Name when empty
 	Plain         bool          // a plain service, not a model engine
 	Idempotent    bool          // the work may be run again
 	Record        bool          // the work is recorded before it is dispatched
@@ -47,6 +48,15 @@
 // Name returns the service's name.
 func (s Service) Name() string { return s.s.Name }
 
+// Targets returns the service of the platform's list whose targets run it. Several services can share targets.
+func (s Service) Targets() string {
+	if s.s.Targets == "" {
+		return s.s.Name
+	}
+
+	return s.s.Targets
+}
+
 // Plain reports whether it is a plain service.
 func (s Service) Plain() bool { return s.s.Plain }
 
--- a/filter/request.go
+++ b/filter/request.go
@@ -85,6 +85,15 @@
 // ServiceName returns the name that the caller asked for.
 func (r *Request) ServiceName() string { return r.in.Service }
 
+// TargetService returns the service of the platform's list whose targets run the request.
+func (r *Request) TargetService() string {
+	if t := r.service.Targets(); t != "" {
+		return t
+	}
+
+	return r.in.Service
+}
+
 // Path returns the path at the target.
 func (r *Request) Path() string { return r.in.Path }
 
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -43,6 +43,7 @@
 // list has all subcommands in the order of the help text.
 var list = []*Cmd{
 	cmdServe,
+	cmdGenerate,
 	cmdCheck,
 	cmdPublish,
 	cmdConfig,
--- a/internal/cmd/cmd_check.go
+++ b/internal/cmd/cmd_check.go
@@ -6,26 +6,27 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/agategap/agategap/answers"
 	"github.com/agategap/agategap/config"
 	"github.com/agategap/agategap/finding"
 	"github.com/agategap/agategap/settings"
+	"github.com/agategap/agategap/tomlfile"
 )
 
 var cmdCheck = &Cmd{
 	Name:    "check",
-	Args:    "[-kind settings|configuration] FILE...",
+	Args:    "[-kind settings|configuration|answers] FILE...",
 	Desc:    "checks files and prints all findings, each as file:line: key: message",
-	Example: "agategap check -kind configuration lintas.toml",
+	Example: "agategap check entry-1.toml examples/lintas.toml",
 	Action: func(_ context.Context, e Env, args []string) error {
 		f := e.flags()
-		k := f.String("kind", "settings", "kind of the files: settings or configuration")
+		k := f.String("kind", "", "kind of the files: settings, configuration or answers; found out from each file when empty")
 
 		if err := e.parse(f, args, 1, 1000); err != nil { //nolint:mnd // bound on arguments
 			return err
 		}
 
-		c, ok := checkers[*k]
-		if !ok {
+		if _, ok := checkers[*k]; !ok && *k != "" {
 			f.Usage()
 
 			return errUsage
@@ -34,7 +35,7 @@
 		var l finding.List
 
 		for _, p := range f.Args() {
-			checkFile(&l, p, c)
+			checkFile(&l, p, *k)
 		}
 
 		if l.Err() == nil {
@@ -54,11 +55,47 @@
 	"configuration": func(f string, b []byte) error {
 		_, err := config.Parse(f, b)
 
+		return err
+	},
+	"answers": func(f string, b []byte) error {
+		_, err := answers.Generate(f, b)
+
 		return err
 	},
 }
 
-func checkFile(l *finding.List, path string, check func(file string, b []byte) error) {
+// kindKeys are keys of the first level that only one kind of file has.
+var kindKeys = map[string][]string{
+	"settings":      {"vm", "caller_address", "operator_address", "peer_address", "failure_domain"},
+	"configuration": {"services", "accounts", "bounds", "batch", "partitions"},
+	"answers":       {"flows", "callers", "team", "shortage"},
+}
+
+// kindOf returns the kind of which a file has most keys; empty when it has none, or as many of another.
+func kindOf(x tomlfile.Index) string {
+	kind, most := "", 0
+
+	for k, keys := range kindKeys {
+		n := 0
+
+		for _, v := range keys {
+			if x.Has(v) || x.Has(v+"[0]") {
+				n++
+			}
+		}
+
+		switch {
+		case n > most:
+			kind, most = k, n
+		case n == most:
+			kind = ""
+		}
+	}
+
+	return kind
+}
+
+func checkFile(l *finding.List, path, kind string) {
 	b, err := readFile(path)
 	if err != nil {
 		l.Addf(path, 0, "file", "%s", trace.UserMessage(err))
@@ -66,8 +103,23 @@
 		return
 	}
 
+	if kind == "" {
+		var v map[string]any
+
+		x := tomlfile.Decode(path, b, &v, l)
+		if !x.Complete() {
+			return
+		}
+
+		if kind = kindOf(x); kind == "" {
+			l.Addf(path, 1, "file", "its keys do not tell its kind; set -kind to settings, configuration or answers")
+
+			return
+		}
+	}
+
 	var o *finding.List
-	if err := check(path, b); errors.As(err, &o) {
+	if err := checkers[kind](path, b); errors.As(err, &o) {
 		l.Append(o)
 	}
 }
--- a/settings/default.go
+++ b/settings/default.go
@@ -7,4 +7,11 @@
 	defaultDrainWait = 3 * time.Second
 	defaultDrainMost = 30 * time.Second
 	mostDrain        = time.Hour
+
+	// DefaultReadTimeout lets a caller send the largest batch body at about 20 Mbit/s.
+	DefaultReadTimeout = 30 * time.Second
+	// DefaultWriteTimeout is longer than a short loss of the caller's network.
+	DefaultWriteTimeout = 10 * time.Second
+	leastTimeout        = 10 * time.Millisecond
+	mostTimeout         = time.Hour
 )
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/agategap/agategap/finding"
 	"github.com/agategap/agategap/tomlfile"
@@ -25,8 +26,25 @@
 
 	DrainWait tomlfile.Duration `toml:"drain_wait"` // time between not ready and closing the listener
 	DrainMost tomlfile.Duration `toml:"drain_most"` // bound on the whole shutdown
+
+	ReadTimeout  tomlfile.Duration `toml:"read_timeout"`  // bound on reading a caller's request
+	WriteTimeout tomlfile.Duration `toml:"write_timeout"` // bound on each write to a caller, not on the whole response
+
+	CallerTLS TLS `toml:"caller_tls"` // TLS of the listener for callers
+	PeerTLS   TLS `toml:"peer_tls"`   // TLS between daemons, on both sides
+}
+
+// TLS names the files of one listener. Without a certificate the listener is not encrypted. The files are read
+// again when they change.
+type TLS struct {
+	Certificate string `toml:"certificate"` // PEM file with the certificate chain
+	Key         string `toml:"key"`         // PEM file with the private key
+	Authority   string `toml:"authority"`   // PEM file with the authorities of the other side; required between daemons
 }
 
+// Enabled reports whether the listener uses TLS.
+func (t TLS) Enabled() bool { return t.Certificate != "" }
+
 // MinKeyBytes is the least length of a peer key.
 const MinKeyBytes = 16
 
@@ -37,29 +55,37 @@
 	var l finding.List
 
 	x := tomlfile.Decode(file, b, &d, &l)
-	if l.Err() == nil {
-		d.setDefaults()
+	if x.Complete() {
+		d.setDefaults(x)
 		d.check(x, &l)
 	}
 
 	return d, l.Err()
 }
 
-func (d *Daemon) setDefaults() {
-	if d.LogLevel == "" {
+// setDefaults sets what is absent. A length of time of 0 that is written stays 0.
+func (d *Daemon) setDefaults(x tomlfile.Index) {
+	if !x.Has("log_level") {
 		d.LogLevel = "info"
 	}
 
-	if d.Policy == "" {
+	if !x.Has("policy") {
 		d.Policy = "owner"
 	}
 
-	if d.DrainWait == (tomlfile.Duration{}) {
-		d.DrainWait = tomlfile.NewDuration(defaultDrainWait)
-	}
-
-	if d.DrainMost == (tomlfile.Duration{}) {
-		d.DrainMost = tomlfile.NewDuration(defaultDrainMost)
+	for _, v := range []struct {
+		key     string
+		value   *tomlfile.Duration
+		initial time.Duration
+	}{
+		{"drain_wait", &d.DrainWait, defaultDrainWait},
+		{"drain_most", &d.DrainMost, defaultDrainMost},
+		{"read_timeout", &d.ReadTimeout, DefaultReadTimeout},
+		{"write_timeout", &d.WriteTimeout, DefaultWriteTimeout},
+	} {
+		if !x.Has(v.key) {
+			*v.value = tomlfile.NewDuration(v.initial)
+		}
 	}
 }
 
@@ -84,20 +110,50 @@
 
 	checkAddress(x, l, "platform", d.Platform)
 
-	for _, p := range d.Peers {
-		checkAddress(x, l, "peers", p)
+	names := map[string]bool{}
+
+	for i, p := range d.Peers {
+		checkAddress(x, l, fmt.Sprintf("peers[%d]", i), p)
+
+		if names[p] {
+			x.Addf(l, fmt.Sprintf("peers[%d]", i), "%q occurs twice", p)
+		}
+
+		names[p] = true
 	}
 
 	for i, k := range d.PeerKeys {
 		if len(k) < MinKeyBytes {
-			x.Addf(l, "peer_keys", "key %d has %d bytes; at least %d are required", i, len(k), MinKeyBytes)
+			x.Addf(l, fmt.Sprintf("peer_keys[%d]", i), "key %d has %d bytes; at least %d are required", i, len(k), MinKeyBytes)
 		}
 	}
 
+	if a, err := netip.ParseAddrPort(d.PeerAddress); err == nil && len(d.PeerKeys) == 0 && !a.Addr().IsLoopback() {
+		x.Addf(l, "peer_keys", "is required, as %s is reachable from other machines", d.PeerAddress)
+	}
+
 	oneOf(x, l, "log_level", d.LogLevel, "debug", "info", "warn", "error")
 	oneOf(x, l, "policy", d.Policy, "round_robin", "least_loaded", "power_of_two", "owner")
 	d.DrainWait.Check(x, l, "drain_wait", 0, mostDrain)
 	d.DrainMost.Check(x, l, "drain_most", 0, mostDrain)
+	d.ReadTimeout.Check(x, l, "read_timeout", leastTimeout, mostTimeout)
+	d.WriteTimeout.Check(x, l, "write_timeout", leastTimeout, mostTimeout)
+	d.CallerTLS.check(x, l, "caller_tls")
+	d.PeerTLS.check(x, l, "peer_tls")
+
+	if d.PeerTLS.Enabled() && d.PeerTLS.Authority == "" {
+		x.Addf(l, "peer_tls.authority", "is required, as daemons check each other's certificates")
+	}
+}
+
+func (t TLS) check(x tomlfile.Index, l *finding.List, key string) {
+	if (t.Certificate == "") != (t.Key == "") {
+		x.Addf(l, key, "certificate and key are set together or not at all")
+	}
+
+	if t.Authority != "" && t.Certificate == "" {
+		x.Addf(l, key+".authority", "has no effect without a certificate")
+	}
 }
 
 func required(x tomlfile.Index, l *finding.List, key, value string) {
--- a/target/stream.go
+++ b/target/stream.go
@@ -40,7 +40,7 @@
 // stream asks for a stream in every case: the first token shows a slow target early, and a broken stream can be
 // resumed.
 func (c *Client) stream(ctx context.Context, r *filter.Request, s filter.Sink) error {
-	b, err := asStream(r.Body(), r.ServiceName())
+	b, err := asStream(r.Body(), r.TargetService())
 	if err != nil {
 		return outcome.New(outcome.InvalidRequest, outcome.NotRun, "the body is not a JSON object").WithCause(err)
 	}
@@ -67,22 +67,19 @@
 	}
 }
 
-// asStream returns the body with streaming switched on, and with the model set where a batch item leaves it out.
+// asStream returns the body with streaming switched on and with the model that the engine knows.
 func asStream(b []byte, model string) ([]byte, error) {
 	var m map[string]json.RawMessage
 	if err := json.Unmarshal(b, &m); err != nil {
 		return nil, err
 	}
 
-	if _, ok := m["model"]; !ok {
-		v, err := json.Marshal(model)
-		if err != nil {
-			return nil, err
-		}
-
-		m["model"] = v
+	v, err := json.Marshal(model)
+	if err != nil {
+		return nil, err
 	}
 
+	m["model"] = v
 	m["stream"] = json.RawMessage("true")
 
 	return json.Marshal(m)
--- a/tomlfile/tomlfile.go
+++ b/tomlfile/tomlfile.go
@@ -2,8 +2,10 @@
 package tomlfile
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"reflect"
 	"strings"
 	"time"
 
@@ -15,15 +17,28 @@
 
 // Index finds the line of a key.
 type Index struct {
-	file  string
-	lines map[string]int
+	file     string
+	lines    map[string]int
+	faulty   map[int]bool
+	complete bool
 }
 
 // File returns the name of the input.
 func (x Index) File() string { return x.file }
 
-// Line returns the line of a dotted key such as services[0].name. For a key that is absent it returns the line
-// of the nearest table around it, and 1 without one.
+// Complete reports whether the document has no syntax error, so that its values can be checked further.
+func (x Index) Complete() bool { return x.complete }
+
+// Has reports whether a dotted key such as services[0].name is written in the document. It tells a value of 0
+// from an absent one.
+func (x Index) Has(key string) bool {
+	_, ok := x.lines[key]
+
+	return ok
+}
+
+// Line returns the line of a dotted key. For a key that is absent it returns the line of the nearest table around
+// it, and 1 without one.
 func (x Index) Line(key string) int {
 	for k := key; k != ""; k = parent(k) {
 		if n, ok := x.lines[k]; ok {
@@ -38,18 +53,56 @@
 	return k[:max(strings.LastIndexByte(k, '.'), 0)]
 }
 
-// Addf records a finding at a key.
+// Addf records a finding at a key. A key whose value could not be decoded has a finding already and gets no other.
 func (x Index) Addf(l *finding.List, key, format string, a ...any) {
+	if n, ok := x.lines[key]; ok && x.faulty[n] {
+		return
+	}
+
 	l.Addf(x.file, x.Line(key), key, format, a...)
 }
 
-// Decode decodes b into v, and adds what is wrong to l: a syntax error, a value of the wrong type, and every
-// unknown key.
+// maxFaults bounds the values of a wrong type that are reported for one document.
+const maxFaults = 100
+
+// Decode decodes b into the value that v points to, and adds what is wrong to l: a syntax error, or every value of
+// a wrong type and every unknown key.
 func Decode(file string, b []byte, v any, l *finding.List) Index {
-	x := Index{file: file, lines: lines(b)}
+	x := Index{file: file, faulty: map[int]bool{}}
+
+	m, row, err := lines(b)
+	x.lines = m
+
+	if err != nil {
+		l.Addf(file, row, "", "syntax error: %s", strings.TrimPrefix(err.Error(), "toml: "))
+
+		return x
+	}
+
+	b = bytes.Clone(b)
+
+	// The decoder stops at the first value of a wrong type. That line is blanked and decoding starts over, so that
+	// all of them are reported.
+	for range maxFaults {
+		reflect.ValueOf(v).Elem().SetZero()
+
+		err := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields().Decode(v)
 
-	err := toml.NewDecoder(strings.NewReader(string(b))).DisallowUnknownFields().Decode(v)
+		n := x.report(l, err)
+		if n == 0 || x.faulty[n] || !blank(b, n) {
+			break
+		}
+
+		x.faulty[n] = true
+	}
+
+	x.complete = true
+
+	return x
+}
 
+// report adds the findings of one decoding. It returns the line of a value of a wrong type, 0 without one.
+func (x Index) report(l *finding.List, err error) int {
 	var m *toml.StrictMissingError
 
 	var d *toml.DecodeError
@@ -59,56 +112,138 @@
 	case errors.As(err, &m):
 		for i := range m.Errors {
 			row, _ := m.Errors[i].Position()
-			l.Addf(file, row, strings.Join(m.Errors[i].Key(), "."), "unknown key")
+			l.Addf(x.file, row, strings.Join(m.Errors[i].Key(), "."), "unknown key")
 		}
 	case errors.As(err, &d):
 		row, _ := d.Position()
-		l.Addf(file, row, strings.Join(d.Key(), "."), "%s", strings.TrimPrefix(d.Error(), "toml: "))
+		l.Addf(x.file, row, strings.Join(d.Key(), "."), "%s", strings.TrimPrefix(d.Error(), "toml: "))
+
+		return row
 	default:
-		l.Addf(file, 1, "", "%s", strings.TrimPrefix(err.Error(), "toml: "))
+		l.Addf(x.file, 1, "", "%s", strings.TrimPrefix(err.Error(), "toml: "))
 	}
 
-	return x
+	return 0
 }
 
-// lines maps the dotted keys of a document to their lines. It stops at a syntax error.
-func lines(b []byte) map[string]int {
-	m := map[string]int{}
-	n := map[string]int{}
+// blank replaces line n by spaces and reports whether it had any content.
+func blank(b []byte, n int) bool {
+	found := false
+
+	for i := range b {
+		if b[i] == '\n' {
+			n--
+
+			continue
+		}
+
+		if n == 1 {
+			found = found || b[i] != ' '
+			b[i] = ' '
+		}
+	}
 
-	var p unstable.Parser
+	return found
+}
 
-	p.Reset(b)
+// indexer collects the lines of the keys of a document.
+type indexer struct {
+	parser unstable.Parser
+	lines  map[string]int
+	counts map[string]int
+}
+
+// lines maps the dotted keys of a document to their lines. At a syntax error it returns its line.
+func lines(b []byte) (map[string]int, int, error) {
+	x := indexer{lines: map[string]int{}, counts: map[string]int{}}
+	x.parser.Reset(b)
 
 	table := ""
 
-	for p.NextExpression() {
-		e := p.Expression()
-		k, line := keyOf(&p, e)
+	for x.parser.NextExpression() {
+		e := x.parser.Expression()
+		k, line := x.keyOf(e)
 
 		switch e.Kind {
 		case unstable.Table:
-			table = k
+			table = x.resolve(k)
+			x.lines[table] = line
 		case unstable.ArrayTable:
-			table = fmt.Sprintf("%s[%d]", k, n[k])
-			n[k]++
+			a := x.resolve(k[:len(k)-1])
+			a = join(a, k[len(k)-1])
+			table = fmt.Sprintf("%s[%d]", a, x.counts[a])
+			x.counts[a]++
+			x.lines[table] = line
 		case unstable.KeyValue:
-			if table != "" {
-				k = table + "." + k
-			}
+			x.value(table, e)
+		}
+	}
 
-			m[k] = line
+	err := x.parser.Error()
 
-			continue
+	var p *unstable.ParserError
+
+	row := 1
+	if errors.As(err, &p) {
+		row = x.parser.Shape(x.parser.Range(p.Highlight)).Start.Line
+	}
+
+	return x.lines, row, err
+}
+
+// value records a key and the keys within its value.
+func (x *indexer) value(table string, e *unstable.Node) {
+	k, line := x.keyOf(e)
+	key := table
+
+	for _, p := range k {
+		key = join(key, p)
+		x.lines[key] = line
+	}
+
+	x.inner(key, line, e.Value())
+}
+
+func (x *indexer) inner(key string, line int, v *unstable.Node) {
+	switch v.Kind {
+	case unstable.InlineTable:
+		for i := v.Children(); i.Next(); {
+			x.value(key, i.Node())
+		}
+	case unstable.Array:
+		n := 0
+
+		for i := v.Children(); i.Next(); n++ {
+			k := fmt.Sprintf("%s[%d]", key, n)
+			x.lines[k] = line
+			x.inner(k, line, i.Node())
+		}
+	}
+}
+
+// resolve returns the dotted key of a table; a part that names an array of tables means its last element.
+func (x *indexer) resolve(parts []string) string {
+	k := ""
+
+	for _, p := range parts {
+		k = join(k, p)
+		if n := x.counts[k]; n > 0 {
+			k = fmt.Sprintf("%s[%d]", k, n-1)
 		}
+	}
+
+	return k
+}
 
-		m[table] = line
+func join(table, key string) string {
+	if table == "" {
+		return key
 	}
 
-	return m
+	return table + "." + key
 }
 
-func keyOf(p *unstable.Parser, e *unstable.Node) (string, int) {
+func (x *indexer) keyOf(e *unstable.Node) ([]string, int) {
 	var s []string
 
 	line := 0
@@ -117,11 +252,11 @@
 		s = append(s, string(i.Node().Data))
 
 		if line == 0 {
-			line = p.Shape(i.Node().Raw).Start.Line
+			line = x.parser.Shape(i.Node().Raw).Start.Line
 		}
 	}
 
-	return strings.Join(s, "."), line
+	return s, line
 }
 
 // Duration is a length of time in a TOML document, such as "250ms" or "24h". A text that is none is kept, so
