Add the commands job and status, and complete publish, config and dump

Cause: operators could not see what a publication changes or which daemons follow it, and a lost append response was reported as unknown even when the version was in the stream.

Requests are counted by service; the dump has jobs and the state of the log.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -39,6 +39,7 @@
 	targets   *controller.Targets
 	jobs      *controller.Jobs
 	store     *store.Store
+	log       *watchedLog
 	metrics   *metrics
 	server    *peer.Server
 	client    *peer.Client
@@ -95,8 +96,9 @@
 	d.metrics = newMetrics()
 	k := peer.NewKeys(d.settings.PeerKeys)
 	d.server, d.client = peer.NewServer(k), peer.NewClient(k)
-	d.store = store.New(p, wire.Groups{}, store.NewOptions(d.holder, partitions, appender.NewLimits(0, 0, appendInterval), time.Now))
-	d.config = controller.NewConfig(p, wire.Versions{}, d.logger)
+	d.log = &watchedLog{log: p}
+	d.store = store.New(d.log, wire.Groups{}, store.NewOptions(d.holder, partitions, appender.NewLimits(0, 0, appendInterval), time.Now))
+	d.config = controller.NewConfig(d.log, wire.Versions{}, d.logger)
 
 	pool := balance.New(balance.LeastLoaded{}, mrand.New(mrand.NewPCG(uint64(time.Now().UnixNano()), 0))) //nolint:gosec // load balancing
 	d.targets = controller.NewTargets(w, pool, d.settings.FailureDomain)
@@ -194,6 +196,8 @@
 
 			return map[string]any{"version": f.Offset(), "author": f.Version().Author, "based_on": f.Version().BaseOn}
 		}),
+		"jobs":  operator.DumpFunc(d.dumpJobs),
+		"log":   operator.DumpFunc(d.log.dump),
 		"store": operator.DumpFunc(func() any { return map[string]any{"followed": d.store.Followed()} }),
 	}
 }
--- /dev/null
+++ b/daemon/dump.go
@@ -0,0 +1,116 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/agategap/agategap/job"
+	"github.com/agategap/agategap/stream"
+)
+
+// platformLog is the log as the platform's client offers it.
+type platformLog interface {
+	Append(ctx context.Context, name string, data []byte) (int64, error)
+	Read(ctx context.Context, name string, from int64, wait time.Duration) (stream.Page, error)
+}
+
+// watchedLog passes calls on to the log and remembers how the last ones went, for the state dump.
+type watchedLog struct {
+	log platformLog
+
+	mu      sync.Mutex
+	last    time.Duration
+	appends int64
+	failed  int64
+	err     error
+}
+
+// Append passes an append on.
+func (w *watchedLog) Append(ctx context.Context, name string, data []byte) (int64, error) {
+	start := time.Now()
+	o, err := w.log.Append(ctx, name, data)
+
+	w.mu.Lock()
+	w.last = time.Since(start)
+	w.appends++
+	w.mu.Unlock()
+	w.note(ctx, err)
+
+	return o, err
+}
+
+// Read passes a read on.
+func (w *watchedLog) Read(ctx context.Context, name string, from int64, wait time.Duration) (stream.Page, error) {
+	p, err := w.log.Read(ctx, name, from, wait)
+	w.note(ctx, err)
+
+	return p, err
+}
+
+// note remembers the error of a call that the caller did not end itself.
+func (w *watchedLog) note(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.err = err
+	if err != nil {
+		w.failed++
+	}
+}
+
+// dump returns how the last calls went.
+func (w *watchedLog) dump() any {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	m := map[string]any{"available": w.err == nil, "last_ms": w.last.Milliseconds(), "appends": w.appends, "failed_calls": w.failed}
+	if w.err != nil {
+		m["error"] = w.err.Error()
+	}
+
+	return m
+}
+
+// jobRecord is a job in the state dump.
+type jobRecord struct {
+	ID       string    `json:"id"`
+	Account  string    `json:"account"`
+	Service  string    `json:"service"`
+	State    string    `json:"state"`
+	Deadline time.Time `json:"deadline"`
+	Items    int       `json:"items"`
+	Pending  int       `json:"pending"`
+	AtRisk   bool      `json:"at_risk"`
+}
+
+// riskTime before its deadline a running job is at risk.
+const riskTime = 15 * time.Minute
+
+// maxDumpedJobs bounds the state dump; running jobs are more than that only by mistake of a caller.
+const maxDumpedJobs = 5000
+
+// dumpJobs returns the unfinished jobs of the followed partitions.
+func (d *Daemon) dumpJobs() any {
+	l := []jobRecord{}
+	now := time.Now()
+
+	for _, p := range d.store.Followed() {
+		d.store.Replay(p).Jobs(func(j *job.Job) {
+			if j.State() != job.Running && j.State() != job.Opening || len(l) >= maxDumpedJobs {
+				return
+			}
+
+			l = append(l, jobRecord{
+				ID: j.ID(), Account: j.Account(), Service: j.Service(), State: j.State().String(), Deadline: j.Deadline().UTC(),
+				Items: j.Items(), Pending: j.Pending(), AtRisk: j.Deadline().Sub(now) < riskTime,
+			})
+		})
+	}
+
+	return l
+}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -48,7 +48,13 @@
 			code = string(outcome.From(err).Code())
 		}
 
-		m.scope.Tagged(map[string]string{"code": code}).Counter("requests").Inc(1)
+		// The name that a caller gives is counted only when the service exists, which bounds the number of series.
+		n := r.Service().Name()
+		if n == "" {
+			n = "none"
+		}
+
+		m.scope.Tagged(map[string]string{"code": code, "service": n}).Counter("requests").Inc(1)
 
 		return err
 	})
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -134,7 +134,7 @@
 
 	d.daemons = append(d.daemons, v)
 	d.vms = append(d.vms, platform.VM{
-		Name: fmt.Sprintf("%s-entry-%d", domain, i), Address: v.CallerAddress(), PeerAddress: v.PeerAddress(),
+		Name: fmt.Sprintf("%s-entry-%d", domain, i), Address: v.CallerAddress(), PeerAddress: v.PeerAddress(), OperatorAddress: v.OperatorAddress(),
 		FailureDomain: domain, Region: region, Role: platform.RoleEntry, State: platform.StateLive,
 	})
 	d.group.Go(func() error { return v.Run(d.ctx) })
--- /dev/null
+++ b/internal/cmd/caller.go
@@ -0,0 +1,190 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/agategap/agategap/outcome"
+)
+
+// caller calls the callers' interface.
+type caller struct {
+	bases []string
+	key   string
+	http  *http.Client
+}
+
+// callerFlags are the flags that all subcommands of job share.
+type callerFlags struct {
+	address, keyFile, authority *string
+	timeout                     *time.Duration
+}
+
+func newCallerFlags(f *flag.FlagSet) callerFlags {
+	const timeout = time.Minute
+
+	return callerFlags{
+		address:   f.String("address", "127.0.0.1:7001", "caller addresses, IP:port or URL, separated by commas; the next one is tried when one cannot be reached"),
+		keyFile:   f.String("key-file", "", "file with the bearer key; the variable AGATEGAP_KEY when empty"),
+		authority: f.String("authority", "", "PEM file with the authorities of the daemons' certificates; https is used when set"),
+		timeout:   f.Duration("timeout", timeout, "longest time for one call"),
+	}
+}
+
+func (c callerFlags) caller() (*caller, error) {
+	k := os.Getenv("AGATEGAP_KEY")
+
+	if *c.keyFile != "" {
+		b, err := readFile(*c.keyFile)
+		if err != nil {
+			return nil, err
+		}
+
+		k = string(bytes.TrimSpace(b))
+	}
+
+	if k == "" {
+		return nil, outcome.New(outcome.Unauthenticated, outcome.NotRun, "no bearer key: set AGATEGAP_KEY or -key-file")
+	}
+
+	t := &http.Transport{}
+	scheme := "http://"
+
+	if *c.authority != "" {
+		b, err := readFile(*c.authority)
+		if err != nil {
+			return nil, err
+		}
+
+		p := x509.NewCertPool()
+		if !p.AppendCertsFromPEM(b) {
+			return nil, trace.BadParameter("%s has no certificates", *c.authority)
+		}
+
+		t.TLSClientConfig = &tls.Config{RootCAs: p, MinVersion: tls.VersionTLS12}
+		scheme = "https://"
+	}
+
+	var l []string
+
+	for a := range strings.SplitSeq(*c.address, ",") {
+		a = strings.TrimRight(strings.TrimSpace(a), "/")
+		if !strings.Contains(a, "://") {
+			a = scheme + a
+		}
+
+		l = append(l, a)
+	}
+
+	return &caller{bases: l, key: k, http: &http.Client{Transport: t, Timeout: *c.timeout}}, nil
+}
+
+// errNotSent means that no address could be connected to, so that the call had no effect.
+func errNotSent(err error) error {
+	return outcome.New(outcome.NotReady, outcome.NotRun, "no daemon can be reached").WithCause(err)
+}
+
+// call makes a call and returns the body of the answer, which the user closes. A call that may be repeated is sent to
+// the next address after its answer was lost; another one only after it was not sent.
+func (c *caller) call(ctx context.Context, method, path, key string, body []byte, repeat bool) (io.ReadCloser, error) {
+	var last error
+
+	lost := false
+
+	for _, b := range c.bases {
+		a, err := c.once(ctx, method, b+path, key, body)
+		if err == nil {
+			return a, nil
+		}
+
+		var o *outcome.Error
+		if errors.As(err, &o) && o.Code() != outcome.NotReady {
+			return nil, err
+		}
+
+		sent := !notSent(err) && o == nil
+		last, lost = err, lost || sent
+
+		if sent && !repeat {
+			break
+		}
+	}
+
+	if lost {
+		return nil, outcome.New(outcome.LostAnswer, outcome.Unknown, "the answer was lost; repeat the command to find out").WithCause(last)
+	}
+
+	return nil, errNotSent(last)
+}
+
+// notSent reports whether the connection was never made.
+func notSent(err error) bool {
+	var o *net.OpError
+
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &o) && o.Op == "dial"
+}
+
+func (c *caller) once(ctx context.Context, method, url, key string, body []byte) (io.ReadCloser, error) {
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, outcome.New(outcome.InvalidRequest, outcome.NotRun, "the address is not valid").WithCause(err)
+	}
+
+	r.Header.Set("Authorization", "Bearer "+c.key)
+
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+
+	a, err := c.http.Do(r)
+	if err != nil {
+		return nil, err
+	}
+
+	if a.StatusCode < http.StatusBadRequest {
+		return a.Body, nil
+	}
+	defer func() { _ = a.Body.Close() }()
+
+	return nil, decodeError(a)
+}
+
+// decodeError returns the error of an answer. Its outcome decides the exit code.
+func decodeError(a *http.Response) error {
+	const most = 1 << 20
+
+	var v struct {
+		Error struct {
+			Code    outcome.Code   `json:"code"`
+			Message string         `json:"message"`
+			Outcome outcome.Effect `json:"outcome"`
+		} `json:"error"`
+	}
+
+	b, _ := io.ReadAll(io.LimitReader(a.Body, most))
+	if json.Unmarshal(b, &v) != nil || v.Error.Code == "" {
+		return outcome.New(outcome.Internal, outcome.Unknown, "status %d without an error that can be read", a.StatusCode)
+	}
+
+	m := fmt.Sprintf("%s: %s", v.Error.Code, v.Error.Message)
+	if r := a.Header.Get("Retry-After"); r != "" {
+		m += fmt.Sprintf(" (a retry is useful after %s s)", r)
+	}
+
+	return outcome.New(v.Error.Code, v.Error.Outcome, "%s", m)
+}
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -47,7 +47,9 @@
 	cmdCheck,
 	cmdPublish,
 	cmdConfig,
+	cmdJob,
 	cmdDump,
+	cmdStatus,
 	cmdDemo,
 	cmdStandin,
 }
@@ -156,6 +158,14 @@
 	return nil
 }
 
+// usage reports a missing or wrong flag.
+func (e Env) usage(f *flag.FlagSet, format string, a ...any) error {
+	_, _ = fmt.Fprintf(e.err, "agategap %s: %s\n\n", e.cmd.Name, fmt.Sprintf(format, a...))
+	f.Usage()
+
+	return errUsage
+}
+
 func (e Env) printf(format string, a ...any) {
 	_, _ = fmt.Fprintf(e.out, format, a...)
 }
--- a/internal/cmd/cmd_config.go
+++ b/internal/cmd/cmd_config.go
@@ -2,31 +2,130 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
 
 	"github.com/agategap/agategap/platform"
 )
 
 var cmdConfig = &Cmd{
 	Name:    "config",
-	Args:    "-platform ADDRESS",
-	Desc:    "prints the configuration in force",
-	Example: "agategap config -platform 127.0.0.1:7000",
+	Args:    "[-platform ADDRESS] [-daemons ADDRESSES] [-watch]",
+	Desc:    "prints the configuration in force, and the version that each daemon has adopted",
+	Example: "agategap config -platform 127.0.0.1:7000 -daemons 127.0.0.1:7101,127.0.0.1:7102",
 	Action: func(ctx context.Context, e Env, args []string) error {
 		f := e.flags()
-		a := f.String("platform", "", "address of the platform, IP:port")
+		a := f.String("platform", "", "address of the platform, IP:port; its version in force is printed")
+		d := f.String("daemons", "", "operator addresses of daemons, separated by commas; those of the platform's list when empty")
+		w := f.Bool("watch", false, "print the versions again whenever one changes, until an interrupt")
+		n := f.Duration("interval", time.Second, "time between two looks of -watch")
 
 		if err := e.parse(f, args, 0, 0); err != nil {
 			return err
 		}
 
-		l, err := replayConfig(ctx, platform.New(*a), 0)
-		if err != nil {
-			return err
+		if *a == "" && *d == "" {
+			return e.usage(f, "-platform or -daemons is required")
 		}
 
-		v := l.InForce()
-		e.printf("# version %d, based on %d, by %s\n%s", v.Offset(), v.Version().BaseOn, v.Version().Author, v.Version().Text)
+		c := configView{env: e, daemons: *d}
+		if *a != "" {
+			c.client = platform.New(*a)
+		}
 
-		return nil
+		if *w {
+			return c.watch(ctx, max(*n, minInterval))
+		}
+
+		return c.print(ctx)
 	},
 }
+
+// minInterval keeps a watch from flooding the daemons.
+const minInterval = 100 * time.Millisecond
+
+// configView shows versions.
+type configView struct {
+	env     Env
+	client  *platform.Client
+	daemons string
+}
+
+// print prints the versions as comments, followed by the document in force.
+func (c configView) print(ctx context.Context) error {
+	if c.client == nil {
+		l, err := c.lines(ctx, nil)
+		c.env.printf("%s\n", strings.Join(l, "\n"))
+
+		return err
+	}
+
+	v, err := readVersions(ctx, c.client)
+	if err != nil {
+		return err
+	}
+
+	l, _ := c.lines(ctx, v) // the platform's list may have no operator addresses
+	c.env.printf("%s\n%s", strings.Join(l, "\n"), v.ledger.InForce().Version().Text)
+
+	return nil
+}
+
+// watch prints the versions whenever they differ from those printed last.
+func (c configView) watch(ctx context.Context, interval time.Duration) error {
+	var last []string
+
+	v := &versions{}
+
+	for {
+		if c.client != nil {
+			if err := v.readMore(ctx, c.client, 0); err != nil && ctx.Err() == nil {
+				c.env.printf("# %s\n", err)
+			}
+		}
+
+		l, err := c.lines(ctx, v)
+		if err != nil && c.client == nil {
+			return err
+		}
+
+		if !slices.Equal(l, last) && ctx.Err() == nil {
+			c.env.printf("%s\n%s\n", time.Now().UTC().Format(time.RFC3339), strings.Join(l, "\n"))
+
+			last = l
+		}
+
+		if !pause(ctx, interval) {
+			return nil
+		}
+	}
+}
+
+// lines returns one line for the version in force and one for each daemon.
+func (c configView) lines(ctx context.Context, v *versions) ([]string, error) {
+	var l []string
+
+	if v != nil && c.client != nil {
+		f := v.ledger.InForce()
+		l = append(l, fmt.Sprintf("# version %d, based on %d, by %s", f.Offset(), f.Version().BaseOn, f.Version().Author))
+	}
+
+	a, err := daemonAddresses(ctx, c.daemons, c.client)
+	if err != nil {
+		return l, err
+	}
+
+	for _, d := range askAll(ctx, a, false) {
+		if d.err != nil {
+			l = append(l, fmt.Sprintf("# %s is not reachable", d.name()))
+
+			continue
+		}
+
+		l = append(l, fmt.Sprintf("# %s has version %d", d.name(), d.version()))
+	}
+
+	return l, nil
+}
--- a/internal/cmd/cmd_dump.go
+++ b/internal/cmd/cmd_dump.go
@@ -1,55 +1,93 @@
 package cmd
 
 import (
+	"bytes"
 	"context"
-	"fmt"
-	"io"
-	"net/http"
-	"time"
+	"encoding/json"
 
 	"github.com/agategap/agategap/outcome"
+	"github.com/agategap/agategap/platform"
 )
 
 var cmdDump = &Cmd{
 	Name:    "dump",
-	Args:    "-address ADDRESS",
-	Desc:    "prints the state of a daemon as JSON",
-	Example: "agategap dump -address 127.0.0.1:7101",
+	Args:    "[-address ADDRESS | -daemons ADDRESSES | -platform ADDRESS]",
+	Desc:    "prints the state of one daemon or of all as JSON",
+	Example: "agategap dump -daemons 127.0.0.1:7101,127.0.0.1:7102",
 	Action: func(ctx context.Context, e Env, args []string) error {
 		f := e.flags()
-		a := f.String("address", "", "operator address of the daemon, IP:port")
+		o := f.String("address", "", "operator address of one daemon, IP:port; its state alone is printed")
+		d := f.String("daemons", "", "operator addresses, separated by commas; an object with the state of each is printed")
+		p := f.String("platform", "", "address of the platform, whose list has the daemons, IP:port")
 
 		if err := e.parse(f, args, 0, 0); err != nil {
 			return err
 		}
 
-		return get(ctx, "http://"+*a+"/dump", e.out)
+		if *o != "" {
+			return dumpOne(ctx, e, *o)
+		}
+
+		if *d == "" && *p == "" {
+			return e.usage(f, "-address, -daemons or -platform is required")
+		}
+
+		var c *platform.Client
+		if *p != "" {
+			c = platform.New(*p)
+		}
+
+		a, err := daemonAddresses(ctx, *d, c)
+		if err != nil {
+			return err
+		}
+
+		return dumpAll(ctx, e, a)
 	},
 }
 
-// getTimeout bounds a call of an operator address.
-const getTimeout = 10 * time.Second
+func dumpOne(ctx context.Context, e Env, address string) error {
+	d := ask(ctx, address, false)
+	if d.err != nil {
+		return d.err
+	}
 
-func get(ctx context.Context, url string, w io.Writer) error {
-	x, cancel := context.WithTimeout(ctx, getTimeout)
-	defer cancel()
+	var b bytes.Buffer
+	if err := json.Indent(&b, d.raw, "", "  "); err != nil {
+		return err
+	}
+
+	e.printf("%s\n", bytes.TrimSpace(b.Bytes()))
+
+	return nil
+}
+
+// dumpAll prints the states of all daemons. A daemon that cannot be reached has an error in place of its state.
+func dumpAll(ctx context.Context, e Env, addresses []string) error {
+	m := map[string]any{}
+	failed := 0
 
-	r, err := http.NewRequestWithContext(x, http.MethodGet, url, nil)
-	if err != nil {
-		return outcome.New(outcome.InvalidRequest, outcome.NotRun, "the address is not valid").WithCause(err)
+	for _, d := range askAll(ctx, addresses, false) {
+		if d.err != nil {
+			m[d.address] = map[string]string{"error": d.err.Error()}
+			failed++
+
+			continue
+		}
+
+		m[d.address] = json.RawMessage(d.raw)
 	}
 
-	a, err := http.DefaultClient.Do(r)
-	if err != nil {
+	n := json.NewEncoder(e.out)
+	n.SetIndent("", "  ")
+
+	if err := n.Encode(m); err != nil {
 		return err
 	}
-	defer func() { _ = a.Body.Close() }()
 
-	if a.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s: status %d", url, a.StatusCode)
+	if failed > 0 {
+		return outcome.New(outcome.NotReady, outcome.Failed, "%d of %d daemons are not reachable", failed, len(addresses))
 	}
 
-	_, err = io.Copy(w, a.Body)
-
-	return err
+	return nil
 }
--- /dev/null
+++ b/internal/cmd/cmd_job.go
@@ -0,0 +1,380 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/schollz/progressbar/v3"
+
+	"github.com/agategap/agategap/finding"
+	"github.com/agategap/agategap/front"
+	"github.com/agategap/agategap/outcome"
+)
+
+var cmdJob = &Cmd{
+	Name:    "job",
+	Args:    "submit|status|cancel|results|amend [flags] FILE|ID",
+	Desc:    "submits, follows and changes batch jobs over the callers' interface",
+	Example: "AGATEGAP_KEY=... agategap job submit -address 127.0.0.1:7001 -service notices -wait night.jsonl",
+	Action: func(ctx context.Context, e Env, args []string) error {
+		if len(args) == 0 {
+			e.flags().Usage()
+
+			return errUsage
+		}
+
+		a, ok := jobActions[args[0]]
+		if !ok {
+			if args[0] == "-h" || args[0] == "-help" || args[0] == "--help" {
+				e.flags().Usage()
+
+				return flag.ErrHelp
+			}
+
+			return e.usage(e.flags(), "%q is none of submit, status, cancel, results, amend", args[0])
+		}
+
+		f := e.flags()
+		c := newCallerFlags(f)
+		do := a(f)
+
+		if err := e.parse(f, args[1:], 1, 1); err != nil {
+			return err
+		}
+
+		v, err := c.caller()
+		if err != nil {
+			return err
+		}
+
+		return do(ctx, jobCall{env: e, caller: v, arg: f.Arg(0)})
+	},
+}
+
+// jobCall is one call of a subcommand. arg is the file or the job.
+type jobCall struct {
+	env    Env
+	caller *caller
+	arg    string
+}
+
+type jobAction func(ctx context.Context, c jobCall) error
+
+var jobActions = map[string]func(f *flag.FlagSet) jobAction{
+	"submit":  jobSubmit,
+	"status":  jobStatus,
+	"cancel":  jobCancel,
+	"results": jobResults,
+	"amend":   jobAmend,
+}
+
+// jobState is the status of a job.
+type jobState struct {
+	ID       string    `json:"id"`
+	State    string    `json:"state"`
+	Service  string    `json:"service"`
+	Priority int       `json:"priority"`
+	Deadline time.Time `json:"deadline"`
+	Items    int       `json:"items"`
+	Done     int       `json:"done"`
+	Failed   int       `json:"failed"`
+	Unknown  int       `json:"unknown"`
+	Pending  int       `json:"pending"`
+}
+
+func (s jobState) running() bool { return s.State != "finished" && s.State != "cancelled" }
+
+// jobChange has the flags that submit and amend share.
+type jobChange struct {
+	deadline *time.Duration
+	priority *int
+	set      *flag.FlagSet
+}
+
+func newJobChange(f *flag.FlagSet) jobChange {
+	return jobChange{
+		deadline: f.Duration("deadline", 0, "time from now until the deadline"),
+		priority: f.Int("priority", 0, "priority among batch jobs; higher goes first"),
+		set:      f,
+	}
+}
+
+// query returns the values that were given.
+func (j jobChange) query() url.Values {
+	q := url.Values{}
+
+	j.set.Visit(func(f *flag.Flag) {
+		if f.Name == "deadline" || f.Name == "priority" {
+			q.Set(f.Name, f.Value.String())
+		}
+	})
+
+	return q
+}
+
+func jobSubmit(f *flag.FlagSet) jobAction {
+	s := f.String("service", "", "service that runs the items")
+	p := f.String("path", "", "path of every item at the target; /v1/chat/completions when empty")
+	k := f.String("key", "", "idempotency key; from the digest of the file and of the settings when empty, so that the same file again is the same job")
+	w := f.Bool("wait", false, "wait until the job has ended, with a progress bar on a terminal")
+	j := f.Bool("json", false, "print the job's status as JSON")
+	g := newJobChange(f)
+
+	return func(ctx context.Context, c jobCall) error {
+		if *s == "" {
+			return c.env.usage(f, "-service is required")
+		}
+
+		b, err := readFile(c.arg)
+		if err != nil {
+			return err
+		}
+
+		if err := checkItems(c.arg, b); err != nil {
+			return err
+		}
+
+		q := g.query()
+		q.Set("service", *s)
+
+		if *p != "" {
+			q.Set("path", *p)
+		}
+
+		if *k == "" {
+			*k = jobKey(q, b)
+		}
+
+		id, err := c.submit(ctx, q, *k, b)
+		if err != nil {
+			return err
+		}
+
+		if !*w && !*j {
+			c.env.printf("%s\n", id)
+
+			return nil
+		}
+
+		c.arg = id
+
+		return c.follow(ctx, *w, *j)
+	}
+}
+
+// checkItems reports the bad lines of a file before anything is sent.
+func checkItems(path string, b []byte) error {
+	_, err := front.ParseItems(b)
+
+	var l *finding.List
+	if !errors.As(err, &l) {
+		return err
+	}
+
+	var o finding.List
+	for _, v := range l.Findings() {
+		o.Addf(path, v.Line(), v.Key(), "%s", v.Message())
+	}
+
+	return o.Err()
+}
+
+// jobKey returns the key of a submission: the same file with the same settings is the same job. The deadline is a
+// length of time from the submission and no part of it.
+func jobKey(q url.Values, b []byte) string {
+	h := sha256.New()
+	_, _ = fmt.Fprintf(h, "%s\x00%s\x00%s\x00", q.Get("service"), q.Get("path"), q.Get("priority"))
+	_, _ = h.Write(b)
+
+	return "file-" + hex.EncodeToString(h.Sum(nil))
+}
+
+// submit sends a job until it is accepted or refused. A lost answer does no harm, as the key makes the next
+// submission the same job.
+func (c jobCall) submit(ctx context.Context, q url.Values, key string, b []byte) (string, error) {
+	const (
+		attempts = 4
+		delay    = time.Second
+	)
+
+	for n := 1; ; n++ {
+		var s jobState
+
+		err := c.read(ctx, http.MethodPost, "/v1/batches?"+q.Encode(), key, b, &s)
+		if err == nil {
+			return s.ID, nil
+		}
+
+		if n == attempts || outcome.From(err).Effect() != outcome.Unknown || !pause(ctx, delay) {
+			return "", err
+		}
+	}
+}
+
+// read makes a call that may be repeated and decodes its answer.
+func (c jobCall) read(ctx context.Context, method, path, key string, body []byte, v any) error {
+	a, err := c.caller.call(ctx, method, path, key, body, true)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = a.Close() }()
+
+	if err := json.NewDecoder(a).Decode(v); err != nil {
+		return outcome.New(outcome.IncompleteAnswer, outcome.Unknown, "the answer is not complete").WithCause(err)
+	}
+
+	return nil
+}
+
+func (c jobCall) path(rest string) string { return "/v1/batches/" + url.PathEscape(c.arg) + rest }
+
+func (c jobCall) state(ctx context.Context) (jobState, error) {
+	var s jobState
+
+	err := c.read(ctx, http.MethodGet, c.path(""), "", nil, &s)
+
+	return s, err
+}
+
+func jobStatus(f *flag.FlagSet) jobAction {
+	w := f.Bool("wait", false, "wait until the job has ended, with a progress bar on a terminal")
+	j := f.Bool("json", false, "print JSON")
+
+	return func(ctx context.Context, c jobCall) error { return c.follow(ctx, *w, *j) }
+}
+
+// statusInterval is the time between two looks at a job.
+const statusInterval = 500 * time.Millisecond
+
+// follow prints the status of a job, after its end if wait is set. A status that cannot be read while waiting is
+// asked for again.
+func (c jobCall) follow(ctx context.Context, wait, asJSON bool) error {
+	s, err := c.state(ctx)
+	if err != nil {
+		return err
+	}
+
+	p := c.bar(wait && !asJSON, s)
+
+	for wait && s.running() {
+		_ = p.Set(s.Items - s.Pending)
+
+		if !pause(ctx, statusInterval) {
+			return outcome.New(outcome.InProgress, outcome.Unknown, "job %s is %s with %d of %d items pending", s.ID, s.State, s.Pending, s.Items)
+		}
+
+		n, err := c.state(ctx)
+		if err == nil {
+			s = n
+		} else if outcome.From(err).Code() == outcome.NotFound {
+			return err
+		}
+	}
+
+	_ = p.Set(s.Items - s.Pending)
+	_ = p.Exit()
+
+	return c.print(s, asJSON)
+}
+
+// bar returns a progress bar, which shows nothing when the output for errors is no terminal.
+func (c jobCall) bar(show bool, s jobState) *progressbar.ProgressBar {
+	w := c.env.err
+	if !show || !isTerminal(w) {
+		w = io.Discard
+	}
+
+	return progressbar.NewOptions(s.Items, progressbar.OptionSetWriter(w), progressbar.OptionSetDescription(s.ID),
+		progressbar.OptionShowCount(), progressbar.OptionOnCompletion(func() { _, _ = fmt.Fprintln(w) }))
+}
+
+func isTerminal(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	if !ok {
+		return false
+	}
+
+	i, err := f.Stat()
+
+	return err == nil && i.Mode()&os.ModeCharDevice != 0
+}
+
+func (c jobCall) print(s jobState, asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(c.env.out).Encode(s)
+	}
+
+	c.env.printf("%s %s: %d items, %d done, %d failed, %d unknown, %d pending; service %s, priority %d, deadline %s\n",
+		s.ID, s.State, s.Items, s.Done, s.Failed, s.Unknown, s.Pending, s.Service, s.Priority, s.Deadline.Format(time.RFC3339))
+
+	return nil
+}
+
+func jobCancel(f *flag.FlagSet) jobAction {
+	j := f.Bool("json", false, "print the job's status as JSON")
+
+	return func(ctx context.Context, c jobCall) error { return c.change(ctx, "/cancel", *j) }
+}
+
+func jobAmend(f *flag.FlagSet) jobAction {
+	j := f.Bool("json", false, "print the job's status as JSON")
+	g := newJobChange(f)
+
+	return func(ctx context.Context, c jobCall) error {
+		q := g.query()
+		if len(q) == 0 {
+			return c.env.usage(f, "-deadline or -priority is required")
+		}
+
+		return c.change(ctx, "/amend?"+q.Encode(), *j)
+	}
+}
+
+// change makes a change that has the same effect when it is repeated.
+func (c jobCall) change(ctx context.Context, path string, asJSON bool) error {
+	var s jobState
+	if err := c.read(ctx, http.MethodPost, c.path(path), "", nil, &s); err != nil {
+		return err
+	}
+
+	return c.print(s, asJSON)
+}
+
+func jobResults(f *flag.FlagSet) jobAction {
+	o := f.String("o", "", "file for the results; standard output when empty")
+
+	return func(ctx context.Context, c jobCall) error {
+		a, err := c.caller.call(ctx, http.MethodGet, c.path("/results"), "", nil, true)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = a.Close() }()
+
+		// The results are read whole first, so that a lost connection leaves no file that looks complete.
+		b, err := io.ReadAll(a)
+		if err != nil {
+			return outcome.New(outcome.IncompleteAnswer, outcome.Unknown, "the results are not complete; ask again").WithCause(err)
+		}
+
+		if *o != "" {
+			const mode = 0o600
+
+			return os.WriteFile(*o, b, mode)
+		}
+
+		_, err = io.Copy(c.env.out, bytes.NewReader(b))
+
+		return err
+	}
+}
--- /dev/null
+++ b/internal/cmd/cmd_status.go
@@ -0,0 +1,262 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/agategap/agategap/outcome"
+	"github.com/agategap/agategap/platform"
+)
+
+var cmdStatus = &Cmd{
+	Name:    "status",
+	Args:    "-daemons ADDRESSES | -platform ADDRESS",
+	Desc:    "prints one screen about what needs an operator, each line with the page to read",
+	Example: "agategap status -daemons 127.0.0.1:7101,127.0.0.1:7102",
+	Action: func(ctx context.Context, e Env, args []string) error {
+		f := e.flags()
+		d := f.String("daemons", "", "operator addresses, separated by commas; those of the platform's list when empty")
+		p := f.String("platform", "", "address of the platform, whose list has the daemons, IP:port")
+		n := f.Duration("interval", defaultSample, "time over which requests are counted; 0 counts from the start of each daemon")
+
+		if err := e.parse(f, args, 0, 0); err != nil {
+			return err
+		}
+
+		if *d == "" && *p == "" {
+			return e.usage(f, "-daemons or -platform is required")
+		}
+
+		var c *platform.Client
+		if *p != "" {
+			c = platform.New(*p)
+		}
+
+		a, err := daemonAddresses(ctx, *d, c)
+		if err != nil {
+			return err
+		}
+
+		var before []daemonState
+
+		if *n > 0 {
+			before = askAll(ctx, a, true)
+
+			if !pause(ctx, *n) {
+				return ctx.Err()
+			}
+		}
+
+		return newScreen(before, askAll(ctx, a, true), time.Now()).print(e)
+	},
+}
+
+// defaultSample is long enough to see requests of a busy service.
+const defaultSample = 2 * time.Second
+
+// page is the page that says what to do about a line of the screen.
+const page = "docs/operations.md"
+
+// screen is what status prints.
+type screen struct {
+	daemons int
+	reached int
+	version int64
+	lines   []string
+}
+
+func newScreen(before, after []daemonState, now time.Time) *screen {
+	s := &screen{daemons: len(after)}
+
+	for _, d := range after {
+		s.version = max(s.version, d.version())
+
+		if d.err == nil {
+			s.reached++
+		}
+	}
+
+	s.addDaemons(after)
+	s.addServices(before, after)
+
+	jobs, targets := map[string]bool{}, map[string]bool{}
+
+	for _, d := range after {
+		s.addJobs(d, now, jobs)
+		s.addTargets(d, targets)
+		s.addLog(d)
+	}
+
+	return s
+}
+
+func (s *screen) addf(section, format string, a ...any) {
+	s.lines = append(s.lines, fmt.Sprintf("%s  (%s#%s)", fmt.Sprintf(format, a...), page, section))
+}
+
+func (s *screen) addDaemons(l []daemonState) {
+	for _, d := range l {
+		switch {
+		case d.err != nil:
+			s.addf("daemon-not-reachable", "daemon %s is not reachable: %s", d.name(), d.err)
+
+			continue
+		case !d.ready:
+			s.addf("daemon-not-ready", "daemon %s is not ready: %s", d.name(), d.reason)
+		}
+
+		if d.version() < s.version {
+			s.addf("configuration-behind", "daemon %s has configuration %d, others have %d", d.name(), d.version(), s.version)
+		}
+	}
+}
+
+// addServices names the services of which requests missed their deadline.
+func (s *screen) addServices(before, after []daemonState) {
+	late, all := map[string]float64{}, map[string]float64{}
+
+	for _, d := range after {
+		requests(d, 1, late, all)
+	}
+
+	for _, d := range before {
+		requests(d, -1, late, all)
+	}
+
+	for _, n := range slices.Sorted(maps.Keys(late)) {
+		if late[n] > 0 {
+			s.addf("deadlines-missed", "service %s missed the deadline of %.0f of %.0f requests", n, late[n], all[n])
+		}
+	}
+}
+
+// requests adds a daemon's counts by service, times sign.
+func requests(d daemonState, sign float64, late, all map[string]float64) {
+	f := d.metrics["agategap_requests"]
+
+	for _, m := range f.GetMetric() {
+		service, code := "", ""
+
+		for _, l := range m.GetLabel() {
+			switch l.GetName() {
+			case "service":
+				service = l.GetValue()
+			case "code":
+				code = l.GetValue()
+			}
+		}
+
+		n := sign * m.GetCounter().GetValue()
+		all[service] += n
+
+		if code == string(outcome.DeadlineExceeded) {
+			late[service] += n
+		}
+	}
+}
+
+// addJobs names running jobs whose deadline has passed, and those that a daemon says are at risk.
+func (s *screen) addJobs(d daemonState, now time.Time, seen map[string]bool) {
+	for _, j := range records(d.dump["jobs"], "jobs") {
+		id := text(j["id"])
+		if seen[id] || text(j["state"]) != "running" {
+			continue
+		}
+
+		t, err := time.Parse(time.RFC3339Nano, text(j["deadline"]))
+		past := err == nil && now.After(t)
+		risk, _ := j["at_risk"].(bool)
+
+		if !past && !risk {
+			continue
+		}
+
+		seen[id] = true
+		word := "is at risk"
+
+		if past {
+			word = "is late"
+		}
+
+		s.addf("job-at-risk", "job %s of service %s %s: %v of %v items pending, deadline %s", id, text(j["service"]), word, j["pending"], j["items"], text(j["deadline"]))
+	}
+}
+
+func (s *screen) addTargets(d daemonState, seen map[string]bool) {
+	for _, t := range records(d.dump["targets"], "targets") {
+		n := text(t["name"])
+		if aside, _ := t["set_aside"].(bool); !aside || seen[n] {
+			continue
+		}
+
+		seen[n] = true
+		s.addf("target-set-aside", "target %s is set aside as slow, says %s", n, d.name())
+	}
+}
+
+// slowLog is the time of a log call above which the log is called slow: a third of the time within which the client
+// gives an append up.
+const slowLog = time.Second
+
+func (s *screen) addLog(d daemonState) {
+	l := d.part("log")
+	if d.err != nil || l == nil {
+		return
+	}
+
+	ms, _ := l["last_ms"].(float64)
+
+	switch up, known := l["available"].(bool); {
+	case known && !up:
+		s.addf("log-not-available", "the log is not available to daemon %s: %s", d.name(), text(l["error"]))
+	case time.Duration(ms)*time.Millisecond > slowLog:
+		s.addf("log-slow", "the log is slow for daemon %s: the last append took %.0f ms", d.name(), ms)
+	}
+}
+
+func (s *screen) print(e Env) error {
+	e.printf("%d of %d daemons reached, configuration version %d\n", s.reached, s.daemons, s.version)
+
+	for _, l := range s.lines {
+		e.printf("! %s\n", strings.TrimSpace(l))
+	}
+
+	if len(s.lines) == 0 {
+		e.printf("nothing needs attention\n")
+	}
+
+	if s.reached == 0 {
+		return outcome.New(outcome.NotReady, outcome.Failed, "no daemon is reachable")
+	}
+
+	return nil
+}
+
+// records returns the objects of a part of the dump: a list, or an object that has the list under a name.
+func records(v any, name string) []map[string]any {
+	if m, ok := v.(map[string]any); ok {
+		v = m[name]
+	}
+
+	l, _ := v.([]any)
+
+	var r []map[string]any
+
+	for _, x := range l {
+		if m, ok := x.(map[string]any); ok {
+			r = append(r, m)
+		}
+	}
+
+	return r
+}
+
+func text(v any) string {
+	s, _ := v.(string)
+
+	return s
+}
--- /dev/null
+++ b/internal/cmd/daemons.go
@@ -0,0 +1,185 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+
+	"github.com/agategap/agategap/outcome"
+	"github.com/agategap/agategap/platform"
+)
+
+const (
+	// getTimeout bounds a call of an operator address.
+	getTimeout = 5 * time.Second
+	// maxDumpBytes bounds the answer of a daemon.
+	maxDumpBytes = 64 << 20
+	// asksAtOnce bounds the daemons that are asked at a time.
+	asksAtOnce = 32
+)
+
+// daemonState is what one daemon says about itself.
+type daemonState struct {
+	address string
+	dump    map[string]any
+	raw     []byte
+	ready   bool
+	reason  string
+	metrics map[string]*dto.MetricFamily
+	err     error
+}
+
+// part returns a part of the dump.
+func (d daemonState) part(name string) map[string]any {
+	m, _ := d.dump[name].(map[string]any)
+
+	return m
+}
+
+func (d daemonState) version() int64 {
+	n, _ := d.part("config")["version"].(float64)
+
+	return int64(n)
+}
+
+// name returns the VM and the address.
+func (d daemonState) name() string {
+	if v, ok := d.part("daemon")["vm"].(string); ok && v != "" {
+		return v + " (" + d.address + ")"
+	}
+
+	return d.address
+}
+
+// daemonAddresses returns the operator addresses that an operator gave, else those of the platform's list.
+func daemonAddresses(ctx context.Context, given string, c *platform.Client) ([]string, error) {
+	var l []string
+
+	for a := range strings.SplitSeq(given, ",") {
+		if a = strings.TrimSpace(a); a == "" {
+			continue
+		}
+
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return nil, outcome.New(outcome.InvalidRequest, outcome.NotRun, "%q is not an IP number with a port", a)
+		}
+
+		l = append(l, a)
+	}
+
+	if len(l) > 0 || c == nil {
+		return l, nil
+	}
+
+	v, err := c.VMs(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("the platform's list of VMs cannot be read; give the addresses with -daemons: %w", err)
+	}
+
+	for _, m := range v {
+		if m.Role == platform.RoleEntry && m.OperatorAddress != "" {
+			l = append(l, m.OperatorAddress)
+		}
+	}
+
+	if len(l) == 0 {
+		return nil, outcome.New(outcome.NotFound, outcome.NotRun, "the platform's list has no operator addresses; give them with -daemons")
+	}
+
+	slices.Sort(l)
+
+	return l, nil
+}
+
+// askAll asks daemons for their state; all asks for readiness and metrics too. The answers are in the order of the
+// addresses.
+func askAll(ctx context.Context, addresses []string, all bool) []daemonState {
+	l := make([]daemonState, len(addresses))
+	gate := make(chan struct{}, asksAtOnce)
+
+	var wg sync.WaitGroup
+
+	for i, a := range addresses {
+		gate <- struct{}{}
+
+		wg.Go(func() {
+			defer func() { <-gate }()
+
+			l[i] = ask(ctx, a, all)
+		})
+	}
+
+	wg.Wait()
+
+	return l
+}
+
+func ask(ctx context.Context, address string, all bool) daemonState {
+	d := daemonState{address: address}
+
+	if _, d.raw, d.err = get(ctx, "http://"+address+"/dump"); d.err != nil {
+		return d
+	}
+
+	if d.err = json.Unmarshal(d.raw, &d.dump); d.err != nil || !all {
+		return d
+	}
+
+	s, b, err := get(ctx, "http://"+address+"/ready")
+	if err != nil {
+		d.err = err
+
+		return d
+	}
+
+	var r struct {
+		Reason string `json:"reason"`
+	}
+
+	_ = json.Unmarshal(b, &r)
+	d.ready, d.reason = s == http.StatusOK, r.Reason
+
+	if _, b, d.err = get(ctx, "http://"+address+"/metrics"); d.err == nil {
+		var p expfmt.TextParser
+
+		d.metrics, d.err = p.TextToMetricFamilies(bytes.NewReader(b))
+	}
+
+	return d
+}
+
+// get returns the answer of a daemon. A status of 503 is an answer of /ready, every other one but 200 an error.
+func get(ctx context.Context, url string) (int, []byte, error) {
+	x, cancel := context.WithTimeout(ctx, getTimeout)
+	defer cancel()
+
+	r, err := http.NewRequestWithContext(x, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, nil, outcome.New(outcome.InvalidRequest, outcome.NotRun, "the address is not valid").WithCause(err)
+	}
+
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = a.Body.Close() }()
+
+	if a.StatusCode != http.StatusOK && a.StatusCode != http.StatusServiceUnavailable {
+		return a.StatusCode, nil, fmt.Errorf("%s: status %d", url, a.StatusCode)
+	}
+
+	b, err := io.ReadAll(io.LimitReader(a.Body, maxDumpBytes))
+
+	return a.StatusCode, b, err
+}
--- /dev/null
+++ b/internal/cmd/operate_test.go
@@ -0,0 +1,187 @@
+package cmd_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agategap/agategap/demo"
+	"github.com/agategap/agategap/standin/platform"
+)
+
+const services = "[[services]]\nname = \"x\"\nkind = \"plain\"\n"
+
+// Guards against a publication that is reported lost although it is in force, that overwrites another operator's
+// change, or that keeps silent about it.
+func TestPublish(t *testing.T) {
+	Convey("Given a platform", t, func() {
+		p := platform.New(platform.Options{})
+		s := httptest.NewServer(p.Handler())
+		defer s.Close()
+
+		a := strings.TrimPrefix(s.URL, "http://")
+		one, two := write(t, "1.toml", services+"deadline = \"1s\"\n"), write(t, "2.toml", services+"deadline = \"2s\"\n")
+
+		Convey("the difference is shown and the version is published on the one in force", func() {
+			code, out, _ := run("publish", "-platform", a, "-author", "ada", one)
+			So(code, ShouldEqual, 0)
+			So(out, ShouldContainSubstring, "version 1 is in force")
+
+			code, out, _ = run("publish", "-platform", a, "-author", "bo", two)
+			So(code, ShouldEqual, 0)
+			So(out, ShouldContainSubstring, `difference to version 1 by "ada"`)
+			So(out, ShouldContainSubstring, `~ services[x].deadline = "1s" -> "2s"`)
+			So(out, ShouldContainSubstring, "version 2 is in force")
+
+			Convey("the same content is not published again", func() {
+				code, out, _ = run("publish", "-platform", a, two)
+				So(code, ShouldEqual, 0)
+				So(out, ShouldContainSubstring, "nothing is published")
+				So(p.Appends(), ShouldEqual, 2)
+			})
+			Convey("a version based on an older one is refused and names the other operator", func() {
+				code, _, errs := run("publish", "-platform", a, "-based-on", "1", one)
+				So(code, ShouldEqual, 3)
+				So(errs, ShouldContainSubstring, `version 2 by "bo" is in force, and yours is based on version 1`)
+			})
+			Convey("config prints the version in force", func() {
+				code, out, _ := run("config", "-platform", a)
+				So(code, ShouldEqual, 0)
+				So(out, ShouldContainSubstring, "# version 2, based on 1, by bo")
+			})
+		})
+		Convey("a lost append response is resolved from the stream", func() {
+			p.SetFaults(platform.Faults{LostShare: 1})
+
+			code, out, _ := run("publish", "-platform", a, one)
+			So(code, ShouldEqual, 0)
+			So(out, ShouldContainSubstring, "version 1 is in force")
+		})
+		Convey("a refused append is reported as not run", func() {
+			p.SetFaults(platform.Faults{RefuseMore: true})
+
+			code, _, _ := run("publish", "-platform", a, one)
+			So(code, ShouldEqual, 3)
+			So(p.Appends(), ShouldEqual, 0)
+		})
+		Convey("an invalid file has findings and is not published", func() {
+			code, _, errs := run("publish", "-platform", a, write(t, "bad.toml", "partitions = 0\n"))
+			So(code, ShouldEqual, 2)
+			So(errs, ShouldContainSubstring, "bad.toml:1: partitions:")
+			So(p.Appends(), ShouldEqual, 0)
+		})
+	})
+}
+
+func startDemo() (*demo.Demo, error) {
+	d, err := demo.Start(context.Background(), zerolog.Nop())
+	if err != nil {
+		return nil, err
+	}
+
+	x, stop := context.WithTimeout(context.Background(), 20*time.Second)
+	defer stop()
+
+	return d, d.Ready(x)
+}
+
+// Guards against a resent file that becomes a second job, and against exit codes that say "not run" about work that
+// ran.
+func TestOperateTheDemo(t *testing.T) {
+	d, err := startDemo()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Stop()
+
+	t.Setenv("AGATEGAP_KEY", demo.Key)
+
+	daemons := d.Operator(0) + "," + d.Operator(3)
+
+	Convey("A job is submitted, followed and read", t, func() {
+		var b strings.Builder
+		for i := range 30 {
+			fmt.Fprintf(&b, `{"custom_id":"n%d","body":{"messages":[{"role":"user","content":"notice %d"}]}}`+"\n", i, i)
+		}
+
+		f := write(t, "night.jsonl", b.String())
+
+		// The first address refuses connections, so the next one is tried.
+		a := "127.0.0.1:1," + d.Caller(0)
+
+		code, out, errs := run("job", "submit", "-address", a, "-service", "signwriter", "-wait", "-json", "-deadline", "1h", f)
+		So(errs, ShouldBeEmpty)
+		So(code, ShouldEqual, 0)
+		So(out, ShouldContainSubstring, `"state":"finished"`)
+		So(out, ShouldContainSubstring, `"done":30`)
+
+		id := strings.Split(out, `"`)[3]
+
+		code, out, _ = run("job", "submit", "-address", d.Caller(4), "-service", "signwriter", f)
+		So(code, ShouldEqual, 0)
+		So(strings.TrimSpace(out), ShouldEqual, id)
+
+		code, out, _ = run("job", "results", "-address", d.Caller(2), id)
+		So(code, ShouldEqual, 0)
+		So(strings.Count(out, "\n"), ShouldEqual, 30)
+
+		code, out, _ = run("job", "amend", "-address", d.Caller(2), "-priority", "3", id)
+		So(code, ShouldEqual, 0)
+		So(out, ShouldContainSubstring, "priority")
+
+		code, out, _ = run("job", "status", "-address", d.Caller(2), id)
+		So(code, ShouldEqual, 0)
+		So(out, ShouldContainSubstring, "30 items, 30 done")
+	})
+	Convey("Errors have the exit code of their outcome", t, func() {
+		code, _, errs := run("job", "status", "-address", d.Caller(0), "job-none")
+		So(code, ShouldEqual, 3)
+		So(errs, ShouldContainSubstring, "not_found")
+
+		code, _, _ = run("job", "status", "-address", "127.0.0.1:1", "job-none")
+		So(code, ShouldEqual, 3)
+
+		code, _, errs = run("job", "submit", "-address", d.Caller(0), "-service", "signwriter", write(t, "bad.jsonl", "{}\nx\n"))
+		So(code, ShouldEqual, 2)
+		So(errs, ShouldContainSubstring, "bad.jsonl:1: custom_id: is required")
+		So(errs, ShouldContainSubstring, "bad.jsonl:2: line: not valid JSON")
+	})
+	Convey("dump, config and status read the daemons", t, func() {
+		code, out, _ := run("dump", "-daemons", daemons)
+		So(code, ShouldEqual, 0)
+		So(strings.Count(out, `"failure_domain"`), ShouldEqual, 2)
+
+		code, out, _ = run("config", "-daemons", daemons)
+		So(code, ShouldEqual, 0)
+		So(strings.Count(out, "has version 1"), ShouldEqual, 2)
+
+		code, out, _ = run("status", "-platform", d.Platform(), "-interval", "0s")
+		So(code, ShouldEqual, 0)
+		So(out, ShouldContainSubstring, "6 of 6 daemons reached, configuration version 1")
+
+		code, out, _ = run("status", "-daemons", daemons+",127.0.0.1:1", "-interval", "10ms")
+		So(code, ShouldEqual, 0)
+		So(out, ShouldContainSubstring, "2 of 3 daemons reached")
+		So(out, ShouldContainSubstring, "docs/operations.md#daemon-not-reachable")
+	})
+	Convey("publish -wait waits for every daemon and names the ones that are not reachable", t, func() {
+		p := write(t, "next.toml", services)
+		code, out, errs := run("publish", "-platform", d.Platform(), "-wait", "-daemons", daemons+",127.0.0.1:1", p)
+		So(errs, ShouldBeEmpty)
+		So(code, ShouldEqual, 0)
+		So(out, ShouldContainSubstring, "2 of 3 daemons have adopted version 2")
+		So(out, ShouldContainSubstring, "127.0.0.1:1 is not reachable")
+	})
+	Convey("No key reaches a dump, a metric or a status", t, func() {
+		for _, a := range [][]string{{"dump", "-platform", d.Platform()}, {"status", "-platform", d.Platform()}} {
+			_, out, _ := run(a...)
+			So(out, ShouldNotContainSubstring, demo.Key)
+		}
+	})
+}
