--- a/integration/system_test.go
+++ b/integration/system_test.go
@@ -518,3 +518,8 @@
 func configurationText() string {
 	return fmt.Sprintf(configuration, hash(callerKey), hash(otherKey))
 }
+
+// changedText returns the configuration with another wait for the log.
+func changedText(wait string) string {
+	return strings.Replace(configurationText(), `record_wait = "1s"`, fmt.Sprintf("record_wait = %q", wait), 1)
+}
--- a/settings/default.go
+++ b/settings/default.go
@@ -11,4 +11,11 @@
 	defaultLogRetention = 24 * time.Hour
 	leastLogRetention   = time.Minute
 	mostLogRetention    = 365 * 24 * time.Hour
+
+	// DefaultReadTimeout lets a caller send the largest batch body at about 20 Mbit/s.
+	DefaultReadTimeout = 30 * time.Second
+	// DefaultWriteTimeout is longer than a short loss of the caller's network.
+	DefaultWriteTimeout = 10 * time.Second
+	leastTimeout        = 10 * time.Millisecond
+	mostTimeout         = time.Hour
 )
