Add the membership of a failure domain

Daemons of a failure domain had only the platform's list, which lags. Package member decides who is live from heartbeats, the list and seeds, with suspicion, indirect checks and refutation.

--- /dev/null
+++ b/member/merge.go
@@ -0,0 +1,237 @@
+package member
+
+import (
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+)
+
+var (
+	// ErrStale means that the sender's incarnation has been replaced.
+	ErrStale = errors.New("the message is from a replaced incarnation")
+	// ErrMalformed means that a message lacks a field or has one out of range.
+	ErrMalformed = errors.New("the message is malformed")
+	// ErrOversized means that a message has more entries than allowed.
+	ErrOversized = errors.New("the message is oversized")
+)
+
+type counts struct {
+	stale, malformed, oversized, received, suspected, removed, refuted atomic.Int64
+}
+
+// Counts returns the counters by name.
+func (t *Table) Counts() map[string]int64 {
+	return map[string]int64{
+		"stale":     t.counts.stale.Load(),
+		"malformed": t.counts.malformed.Load(),
+		"oversized": t.counts.oversized.Load(),
+		"received":  t.counts.received.Load(),
+		"suspected": t.counts.suspected.Load(),
+		"removed":   t.counts.removed.Load(),
+		"refuted":   t.counts.refuted.Load(),
+	}
+}
+
+// Receive takes a heartbeat and returns the answer. A message that is refused changes nothing but a counter.
+func (t *Table) Receive(now time.Time, m Message) (Message, error) {
+	if err := t.accept(m); err != nil {
+		return Message{}, err
+	}
+
+	if m.Domain != t.settings.Domain {
+		t.mergeDepartures(now, m.Departures)
+
+		return t.remoteMessage(now, m.Full), nil
+	}
+
+	t.merge(now, m)
+
+	return t.message(now, m.From.VM, m.Full), nil
+}
+
+// accept checks and counts a message.
+func (t *Table) accept(m Message) error {
+	err := t.check(m)
+
+	switch {
+	case errors.Is(err, ErrOversized):
+		t.counts.oversized.Add(1)
+	case errors.Is(err, ErrMalformed):
+		t.counts.malformed.Add(1)
+	case errors.Is(err, ErrStale):
+		t.counts.stale.Add(1)
+	default:
+		t.counts.received.Add(1)
+	}
+
+	return err
+}
+
+func (t *Table) check(m Message) error {
+	if len(m.Changes) > maxFull || len(m.Departures) > maxFull {
+		return fmt.Errorf("%w: %d changes and %d departures", ErrOversized, len(m.Changes), len(m.Departures))
+	}
+
+	if m.Domain == "" || len(m.Domain) > maxName || len(m.Region) > maxName || m.Config < 0 {
+		return fmt.Errorf("%w: failure domain or configuration version", ErrMalformed)
+	}
+
+	for _, c := range append([]Change{m.From}, m.Changes...) {
+		if !t.validName(c.VM, c.Address) || c.Incarnation == 0 || c.State < Live || c.State > Leaving {
+			return fmt.Errorf("%w: change of %.40q", ErrMalformed, c.VM)
+		}
+	}
+
+	for _, d := range m.Departures {
+		if !t.validName(d.VM, d.Address) || d.Since <= 0 {
+			return fmt.Errorf("%w: departure of %.40q", ErrMalformed, d.VM)
+		}
+	}
+
+	if e, ok := t.get(m.From.VM); ok && m.Domain == t.settings.Domain && m.From.Incarnation < e.change.Incarnation {
+		return fmt.Errorf("%w: %s", ErrStale, m.From.VM)
+	}
+
+	return nil
+}
+
+func (t *Table) validName(vm, address string) bool {
+	return vm != "" && len(vm) <= maxName && address != "" && len(address) <= maxName &&
+		(t.settings.Valid == nil || t.settings.Valid(address))
+}
+
+func (t *Table) merge(now time.Time, m Message) {
+	t.apply(now, m.From, false)
+
+	for _, c := range m.Changes {
+		t.apply(now, c, false)
+	}
+
+	t.mergeDepartures(now, m.Departures)
+	t.probes.compare(now, m, t)
+}
+
+// apply takes a change if it takes precedence over what is known, and passes it on. A daemon of the view that
+// others removed is only suspected here: a daemon that was cut off removes all others and says so when it returns.
+func (t *Table) apply(now time.Time, c Change, observed bool) {
+	if c.VM == t.settings.VM {
+		t.refute(c)
+
+		return
+	}
+
+	h := t.shard(c.VM)
+
+	h.mu.Lock()
+	changed, passOn := h.apply(now, &c, observed, &t.counts)
+	h.mu.Unlock()
+
+	if passOn {
+		t.queue.add(c, t.size())
+	}
+
+	if changed {
+		t.version.Add(1)
+	}
+}
+
+// apply returns whether the view changed and whether the change was news.
+func (h *tableShard) apply(now time.Time, c *Change, observed bool, n *counts) (changed, passOn bool) {
+	e := h.peers[c.VM]
+	if e == nil {
+		if len(h.peers) >= maxFull {
+			return false, false
+		}
+
+		e = &entry{}
+		h.peers[c.VM] = e
+	}
+
+	if c.State == Removed && !observed && inView(e.change) {
+		c.State = Suspect
+	}
+
+	// The list said that this VM is leaving before any incarnation of it was known.
+	if c.Incarnation > e.left && e.listed && e.left == 0 {
+		c.State = Leaving
+	}
+
+	if c.Incarnation <= e.left {
+		c.State = Leaving
+	}
+
+	if !supersedes(*c, e.change) {
+		return false, false
+	}
+
+	was := inView(e.change)
+	changed = was != inView(*c) || was && (e.change.Incarnation != c.Incarnation || e.change.Address != c.Address)
+
+	if e.change.Incarnation != c.Incarnation {
+		e.joined = now
+	}
+
+	if e.change.State != c.State || e.change.Incarnation != c.Incarnation {
+		e.since = now
+		n.state(c.State)
+	}
+
+	if c.State == Leaving {
+		e.left = max(e.left, c.Incarnation)
+	}
+
+	e.change = *c
+
+	return changed, true
+}
+
+func (n *counts) state(s State) {
+	switch s {
+	case Suspect:
+		n.suspected.Add(1)
+	case Removed:
+		n.removed.Add(1)
+	}
+}
+
+// supersedes reports whether a takes precedence over b, which may be empty.
+func supersedes(a, b Change) bool {
+	switch {
+	case a.Incarnation != b.Incarnation:
+		return a.Incarnation > b.Incarnation
+	case a.State == Leaving || b.State == Leaving:
+		return b.State != Leaving
+	case a.Counter != b.Counter:
+		return a.Counter > b.Counter
+	default:
+		return a.State > b.State
+	}
+}
+
+// refute answers what others say of this daemon.
+func (t *Table) refute(c Change) {
+	t.own.mu.Lock()
+	o := &t.own.change
+	before := *o
+
+	switch {
+	case c.Incarnation > o.Incarnation:
+		// The clock of this VM is behind that of its predecessor.
+		o.Incarnation, o.Counter = c.Incarnation+1, 0
+	case c.Incarnation < o.Incarnation:
+	case c.State == Leaving:
+		o.State = Leaving
+	case o.State == Live && (c.State != Live || c.Counter > o.Counter) && c.Counter >= o.Counter:
+		o.Counter = c.Counter + 1
+	}
+
+	after := *o
+	t.own.mu.Unlock()
+
+	if after != before {
+		t.counts.refuted.Add(1)
+		t.queue.add(after, t.size())
+		t.version.Add(1)
+	}
+}
