--- a/peer/client.go
+++ b/peer/client.go
@@ -6,16 +6,26 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/agategap/agategap/shard"
 )
 
 // connShards is the number of shards of the open connections.
 const connShards = 16
 
-// dialTimeout bounds the set-up of a connection.
-const dialTimeout = time.Second
+const (
+	// dialTimeout bounds the set-up of a connection.
+	dialTimeout = time.Second
+	// callTimeout bounds a call whose context has no deadline.
+	callTimeout = 30 * time.Second
+	// silentAfter is how long a connection must have been without any message before an unanswered call counts as
+	// a sign that it is silent for good. The network takes 1 to 2 ms.
+	silentAfter = 250 * time.Millisecond
+)
 
 // ErrNotSent means that the call never left this daemon.
 var ErrNotSent = errors.New("the peer could not be reached")
@@ -23,33 +33,73 @@
 // Client calls other daemons. It keeps one connection to each.
 type Client struct {
 	keys   Keys
+	counts counts
+	dials  singleflight.Group
+	closed atomic.Bool
 	shards [connShards]connShard
 }
 
 type connShard struct {
 	mu    sync.Mutex
-	conns map[string]*rpc.Client
+	conns map[string]*conn
+}
+
+// conn is a connection with the calls in flight.
+type conn struct {
+	rpc    *rpc.Client
+	frames *frames
+	calls  atomic.Int64
+	retire atomic.Bool // replaced; closed after its last call
 }
 
 // NewClient returns a client.
 func NewClient(k Keys) *Client { return &Client{keys: k} }
 
-// Call calls NAME.METHOD at an IP number with a port. When ctx ends first the call may still take effect, and the
-// connection is given up, as it may be silent for good. ErrNotSent means that it cannot have had any effect.
+// Call calls NAME.METHOD at an IP number with a port. When ctx ends first the call may still take effect. When the
+// connection gave no sign in that time, new calls get a new one; calls that wait on the old one keep it until
+// their own deadlines. ErrNotSent means that the call cannot have had any effect. reply must not be read after
+// an error.
 func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
+	if _, ok := ctx.Deadline(); !ok {
+		x, stop := context.WithTimeout(ctx, callTimeout)
+		defer stop()
+
+		ctx = x
+	}
+
+	err := c.try(ctx, address, method, args, reply)
+	if errors.Is(err, rpc.ErrShutdown) {
+		err = c.try(ctx, address, method, args, reply) // the peer closed an idle connection
+	}
+
+	return err
+}
+
+func (c *Client) try(ctx context.Context, address, method string, args, reply any) error {
 	h := &c.shards[shard.Index(address, connShards)]
 
 	r, err := c.conn(ctx, h, address)
 	if err != nil {
+		c.counts.unreachable.Add(1)
+
 		return errors.Join(ErrNotSent, err)
 	}
 
-	d := r.Go(method, args, reply, make(chan *rpc.Call, 1))
+	r.calls.Add(1)
+	defer r.done()
+
+	start := time.Now()
+	d := r.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
 
 	select {
 	case <-d.Done:
 	case <-ctx.Done():
-		h.drop(address, r)
+		c.counts.expired.Add(1)
+
+		if time.Since(start) >= silentAfter && r.frames.heard.Load() < start.UnixNano() {
+			c.counts.replaced.Add(1)
+			h.drop(address, r)
+		}
 
 		return ctx.Err()
 	}
@@ -68,28 +118,66 @@
 	return d.Error
 }
 
+// done ends a call. The last one on a replaced connection closes it.
+func (c *conn) done() {
+	if c.calls.Add(-1) == 0 && c.retire.Load() {
+		_ = c.rpc.Close()
+	}
+}
+
 // Close closes all connections.
 func (c *Client) Close() {
+	c.closed.Store(true)
+
 	for i := range c.shards {
 		h := &c.shards[i]
 
 		h.mu.Lock()
-		for _, r := range h.conns {
-			_ = r.Close()
-		}
-
+		l := h.conns
 		h.conns = nil
 		h.mu.Unlock()
+
+		for _, r := range l {
+			_ = r.rpc.Close()
+		}
 	}
 }
 
-// conn returns the open connection to an address or makes one.
-func (c *Client) conn(ctx context.Context, h *connShard, address string) (*rpc.Client, error) {
+// conn returns the open connection to an address or makes one. Calls at the same time share the attempt.
+func (c *Client) conn(ctx context.Context, h *connShard, address string) (*conn, error) {
 	if r := h.get(address); r != nil {
 		return r, nil
 	}
 
-	n, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
+	if c.closed.Load() {
+		return nil, net.ErrClosed
+	}
+
+	d := c.dials.DoChan(address, func() (any, error) {
+		if r := h.get(address); r != nil {
+			return r, nil
+		}
+
+		return c.dial(h, address)
+	})
+
+	select {
+	case v := <-d:
+		if v.Err != nil {
+			return nil, v.Err
+		}
+
+		return v.Val.(*conn), nil //nolint:forcetypeassert // the function above returns nothing else
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// dial makes a connection. It does not end with the context of one call, as others may wait for it.
+func (c *Client) dial(h *connShard, address string) (*conn, error) {
+	c.counts.dialed.Add(1)
+
+	n, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -100,43 +188,49 @@
 		return nil, err
 	}
 
-	return h.put(address, rpc.NewClientWithCodec(clientCodec{newFrames(n)})), nil
+	f := newFrames(n, &c.counts)
+	r := &conn{rpc: rpc.NewClientWithCodec(clientCodec{f}), frames: f}
+
+	h.put(address, r)
+
+	if c.closed.Load() {
+		h.drop(address, r)
+
+		return nil, net.ErrClosed
+	}
+
+	return r, nil
 }
 
-func (h *connShard) get(address string) *rpc.Client {
+func (h *connShard) get(address string) *conn {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
 	return h.conns[address]
 }
 
-// put stores a connection, or closes it when another call was faster.
-func (h *connShard) put(address string, r *rpc.Client) *rpc.Client {
+func (h *connShard) put(address string, r *conn) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	if o := h.conns[address]; o != nil {
-		_ = r.Close()
-
-		return o
-	}
-
 	if h.conns == nil {
-		h.conns = map[string]*rpc.Client{}
+		h.conns = map[string]*conn{}
 	}
 
 	h.conns[address] = r
-
-	return r
 }
 
-func (h *connShard) drop(address string, r *rpc.Client) {
+// drop takes a connection out of use and closes it after its last call.
+func (h *connShard) drop(address string, r *conn) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-
 	if h.conns[address] == r {
 		delete(h.conns, address)
 	}
+	h.mu.Unlock()
+
+	r.retire.Store(true)
 
-	_ = r.Close()
+	if r.calls.Load() == 0 {
+		_ = r.rpc.Close()
+	}
 }
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -2,11 +2,16 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/agategap/agategap/wire"
 )
@@ -14,54 +19,119 @@
 // MaxFrameBytes bounds one message between daemons.
 const MaxFrameBytes = 8 << 20
 
+const (
+	// maxHeadBytes bounds the head of a call, which has a method name, a number and perhaps an error.
+	maxHeadBytes = 16 << 10
+	// writeTimeout bounds a write to a peer that no longer reads.
+	writeTimeout = 5 * time.Second
+	// frameTimeout bounds the time from the first byte of a message to its last.
+	frameTimeout = 10 * time.Second
+	// idleTimeout closes connections that nobody uses. Heartbeats use each connection within a failure domain far
+	// more often.
+	idleTimeout = 5 * time.Minute
+)
+
+var errOversized = errors.New("the message is above the bound")
+
+// head precedes every message. It is an array on the wire, as heartbeats are small and field names would double
+// their size.
+type head struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Method   string
+	Seq      uint64
+	Error    string
+}
+
 // frames reads and writes messages behind their length, 4 bytes in big endian.
 type frames struct {
-	conn io.ReadWriteCloser
-	in   *bufio.Reader
-	mu   sync.Mutex
+	conn   net.Conn
+	in     *bufio.Reader
+	counts *counts
+	heard  atomic.Int64 // time of the last message, Unix nanoseconds
+	mu     sync.Mutex
 }
 
-func newFrames(c io.ReadWriteCloser) *frames {
-	return &frames{conn: c, in: bufio.NewReader(c)}
+func newFrames(c net.Conn, n *counts) *frames {
+	return &frames{conn: c, in: bufio.NewReader(c), counts: n}
 }
 
 const lengthBytes = 4
 
-func (f *frames) read(v any) error {
+// readHead waits for the next message.
+func (f *frames) readHead(idle time.Duration) (head, error) {
+	_ = f.conn.SetReadDeadline(deadline(idle))
+
+	if _, err := f.in.Peek(1); err != nil {
+		return head{}, err
+	}
+
+	_ = f.conn.SetReadDeadline(deadline(frameTimeout))
+
+	var h head
+
+	err := f.read(&h, maxHeadBytes)
+	if err == nil {
+		f.heard.Store(time.Now().UnixNano())
+	}
+
+	return h, err
+}
+
+func deadline(d time.Duration) time.Time {
+	if d == 0 {
+		return time.Time{}
+	}
+
+	return time.Now().Add(d)
+}
+
+// read reads one part of a message. The buffer grows with what arrives, so that an announced length alone takes
+// no memory.
+func (f *frames) read(v any, most uint32) error {
 	var h [lengthBytes]byte
 	if _, err := io.ReadFull(f.in, h[:]); err != nil {
 		return err
 	}
 
 	n := binary.BigEndian.Uint32(h[:])
-	if n > MaxFrameBytes {
-		return fmt.Errorf("a message of %d bytes is above the bound of %d", n, MaxFrameBytes)
+	if n > most {
+		f.counts.oversized.Add(1)
+
+		return fmt.Errorf("%w: %d bytes, at most %d", errOversized, n, most)
 	}
 
-	b := make([]byte, n)
-	if _, err := io.ReadFull(f.in, b); err != nil {
+	var b bytes.Buffer
+	if _, err := io.CopyN(&b, f.in, int64(n)); err != nil {
 		return err
 	}
 
+	f.counts.in.Add(int64(n) + lengthBytes)
+
 	if v == nil {
 		return nil
 	}
 
-	return wire.Unmarshal(b, v)
+	if err := wire.Unmarshal(b.Bytes(), v); err != nil {
+		f.counts.malformed.Add(1)
+
+		return err
+	}
+
+	return nil
 }
 
-// write sends two messages in one piece.
-func (f *frames) write(head, body any) error {
+// write sends a head and a body in one piece.
+func (f *frames) write(h head, body any) error {
 	var p []byte
 
-	for _, v := range []any{head, body} {
+	for _, v := range []any{&h, body} {
 		b, err := wire.Marshal(v)
 		if err != nil {
 			return err
 		}
 
 		if len(b) > MaxFrameBytes {
-			return fmt.Errorf("a message of %d bytes is above the bound of %d", len(b), MaxFrameBytes)
+			return fmt.Errorf("%w: %d bytes, at most %d", errOversized, len(b), MaxFrameBytes)
 		}
 
 		p = binary.BigEndian.AppendUint32(p, uint32(len(b))) //nolint:gosec // bounded above
@@ -71,7 +141,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	_, err := f.conn.Write(p)
+	_ = f.conn.SetWriteDeadline(deadline(writeTimeout))
+
+	n, err := f.conn.Write(p)
+	f.counts.out.Add(int64(n))
+
+	if err != nil {
+		_ = f.conn.Close() // a part of the message may have left
+	}
 
 	return err
 }
@@ -79,15 +156,35 @@
 // serverCodec is the net/rpc codec of a server.
 type serverCodec struct{ *frames }
 
-func (c serverCodec) ReadRequestHeader(r *rpc.Request) error     { return c.read(r) }
-func (c serverCodec) ReadRequestBody(v any) error                { return c.read(v) }
-func (c serverCodec) WriteResponse(r *rpc.Response, v any) error { return c.write(r, v) }
-func (c serverCodec) Close() error                               { return c.conn.Close() }
+func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	h, err := c.readHead(idleTimeout)
+	r.ServiceMethod, r.Seq = h.Method, h.Seq
+
+	return err
+}
+
+func (c serverCodec) ReadRequestBody(v any) error { return c.read(v, MaxFrameBytes) }
+
+func (c serverCodec) WriteResponse(r *rpc.Response, v any) error {
+	return c.write(head{Seq: r.Seq, Error: r.Error}, v)
+}
+
+func (c serverCodec) Close() error { return c.conn.Close() }
 
 // clientCodec is the net/rpc codec of a client.
 type clientCodec struct{ *frames }
 
-func (c clientCodec) WriteRequest(r *rpc.Request, v any) error { return c.write(r, v) }
-func (c clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.read(r) }
-func (c clientCodec) ReadResponseBody(v any) error             { return c.read(v) }
-func (c clientCodec) Close() error                             { return c.conn.Close() }
+func (c clientCodec) WriteRequest(r *rpc.Request, v any) error {
+	return c.write(head{Method: r.ServiceMethod, Seq: r.Seq}, v)
+}
+
+// ReadResponseHeader waits without a deadline: each call has its own.
+func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
+	h, err := c.readHead(0)
+	r.Seq, r.Error = h.Seq, h.Error
+
+	return err
+}
+
+func (c clientCodec) ReadResponseBody(v any) error { return c.read(v, MaxFrameBytes) }
+func (c clientCodec) Close() error                 { return c.conn.Close() }
