Run the membership between daemons

Controllers saw the other daemons only through the platform's list. The membership controller runs the peer table over net/rpc, supplies the view and an event, passes on leaving targets, the list of VMs and the configuration, and lets two daemons per failure domain read the platform's list. The owner of a target asks it whether it is leaving.

--- a/controller/config.go
+++ b/controller/config.go
@@ -93,8 +93,22 @@
 	}
 }
 
+// Receive takes a version that a peer has in force. It never goes back to a lower offset.
+func (c *Config) Receive(offset int64, v config.Version) error {
+	d, err := c.ledger.Receive(offset, v)
+	if d == config.Adopted {
+		c.adopt()
+	}
+
+	return err
+}
+
 // adopt makes the version in force visible to the filters.
 func (c *Config) adopt() {
+	// Two adoptions at a time, one from the log and one from a peer, must end with the higher version.
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
 	f := c.ledger.InForce()
 	a, s := map[string]filter.Account{}, map[string]filter.Service{}
 
@@ -108,11 +122,9 @@
 		s[v.Name] = service(v)
 	}
 
-	c.mu.Lock()
 	c.accounts, c.services = a, s
 	close(c.changed)
 	c.changed = make(chan struct{})
-	c.mu.Unlock()
 
 	c.logger.Info().Int64("version", f.Offset()).Str("author", f.Version().Author).Msg("configuration adopted")
 }
--- a/controller/peer.go
+++ b/controller/peer.go
@@ -30,7 +30,7 @@
 	var l []Peer
 
 	for _, m := range t.machines {
-		if !m.Target() && !t.leaving[m.Name()] {
+		if !m.Target() && !t.leaving[m.Name()+"\x00"+m.Address()] {
 			l = append(l, NewPeer(m.Name(), m.PeerAddress(), m.Domain(), m.Region()))
 		}
 	}
--- a/controller/targets.go
+++ b/controller/targets.go
@@ -58,6 +58,13 @@
 	Set(service string, t []filter.Target)
 }
 
+// Departures knows the leaving targets from all sources, and whether this daemon is to read the list.
+type Departures interface {
+	ObserveList(l []Machine, age time.Duration)
+	Departing(vm, address string) bool
+	ReadsList() bool
+}
+
 // listInterval is the time between two reads of the platform's list.
 const listInterval = 500 * time.Millisecond
 
@@ -67,10 +74,14 @@
 	pool   TargetPool
 	domain string
 
+	departures Departures
+
 	mu       sync.Mutex
 	machines []Machine
 	services map[string]bool
 	leaving  map[string]bool
+
+	poolMu sync.Mutex // orders the updates of the pool
 }
 
 // NewTargets returns the controller of a failure domain.
@@ -78,11 +89,17 @@
 	return &Targets{list: l, pool: p, domain: domain, services: map[string]bool{}, leaving: map[string]bool{}}
 }
 
-// Run reads the list until ctx ends. While the platform does not answer, the last list stays.
+// Follow sets the source of departures. It is to be called before Run.
+func (t *Targets) Follow(d Departures) { t.departures = d }
+
+// Run reads the list until ctx ends. While the platform does not answer, the last list stays. A daemon that gets
+// the list from its peers does not read it.
 func (t *Targets) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if m, err := t.list.Machines(ctx); err == nil {
-			t.observe(m)
+		if t.departures == nil || t.departures.ReadsList() {
+			if m, err := t.list.Machines(ctx); err == nil {
+				t.Receive(m, 0)
+			}
 		}
 
 		sleep(ctx, listInterval)
@@ -107,30 +124,65 @@
 	return len(t.services) > 0
 }
 
-// observe takes a list. A VM that was seen leaving never comes back under the same name.
-func (t *Targets) observe(l []Machine) {
+// Receive takes a list that the platform confirmed at the given age.
+func (t *Targets) Receive(l []Machine, age time.Duration) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-
 	t.machines = l
-	pools := map[string][]filter.Target{}
+	t.mu.Unlock()
 
-	for s := range t.services {
-		pools[s] = nil
+	if t.departures != nil {
+		t.departures.ObserveList(l, age)
+	}
+
+	t.Refresh()
+}
+
+// Refresh gives the pool the targets that are not leaving. A target that was seen leaving never comes back at
+// the same address.
+func (t *Targets) Refresh() {
+	t.poolMu.Lock()
+	defer t.poolMu.Unlock()
+
+	l := t.Machines()
+	departing := make([]bool, len(l))
+
+	for i, m := range l {
+		departing[i] = m.Leaving() || m.Target() && t.departures != nil && t.departures.Departing(m.Name(), m.Address())
 	}
 
-	for _, m := range l {
-		if m.Leaving() {
-			t.leaving[m.Name()] = true
+	for s, p := range t.pools(l, departing) {
+		t.pool.Set(s, p)
+	}
+}
+
+// pools returns the targets of every service that was ever seen, so that the pool of one without targets is
+// emptied.
+func (t *Targets) pools(l []Machine, departing []bool) map[string][]filter.Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	p := map[string][]filter.Target{}
+
+	for i, m := range l {
+		k := m.Name() + "\x00" + m.Address()
+		if departing[i] {
+			t.leaving[k] = true
 		}
 
-		if m.Target() && m.Domain() == t.domain && !t.leaving[m.Name()] {
-			pools[m.Service()] = append(pools[m.Service()], filter.NewTarget(m.Name(), m.Address()))
+		if m.Target() && m.Domain() == t.domain {
+			t.services[m.Service()] = true
+
+			if !t.leaving[k] {
+				p[m.Service()] = append(p[m.Service()], filter.NewTarget(m.Name(), m.Address()))
+			}
 		}
 	}
 
-	for s, p := range pools {
-		t.services[s] = true
-		t.pool.Set(s, p)
+	for s := range t.services {
+		if _, ok := p[s]; !ok {
+			p[s] = nil
+		}
 	}
+
+	return p
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -33,18 +33,19 @@
 
 // Daemon is the daemon of one entry VM.
 type Daemon struct {
-	settings  settings.Daemon
-	logger    zerolog.Logger
-	holder    string
-	group     run.Group
-	config    *controller.Config
-	targets   *controller.Targets
-	jobs      *controller.Jobs
-	store     *store.Store
-	metrics   *metrics
-	server    *peer.Server
-	client    *peer.Client
-	listeners []net.Listener
+	settings   settings.Daemon
+	logger     zerolog.Logger
+	holder     string
+	group      run.Group
+	config     *controller.Config
+	targets    *controller.Targets
+	membership *controller.Membership
+	jobs       *controller.Jobs
+	store      *store.Store
+	metrics    *metrics
+	server     *peer.Server
+	client     *peer.Client
+	listeners  []net.Listener
 }
 
 const (
@@ -112,6 +113,7 @@
 	d.serve(d.listeners[0], front.New(d.metrics.count(online), d.config, d.jobs, r, time.Now).Handler())
 	d.serve(d.listeners[1], operator.New(d, d.metrics.handler(), d.dumpers()).Handler())
 	d.group.Add(func() error { return d.server.Serve(d.listeners[2]) }, func(error) { d.server.Close(); d.client.Close() })
+	d.buildMembership(c)
 	d.actor(d.config.Run)
 	d.actor(d.targets.Run)
 	d.actor(d.jobs.Run)
@@ -199,6 +201,7 @@
 
 			return map[string]any{"version": f.Offset(), "author": f.Version().Author, "based_on": f.Version().BaseOn}
 		}),
-		"store": operator.DumpFunc(func() any { return map[string]any{"followed": d.store.Followed()} }),
+		"membership": operator.DumpFunc(d.dumpMembership),
+		"store":      operator.DumpFunc(func() any { return map[string]any{"followed": d.store.Followed()} }),
 	}
 }
--- /dev/null
+++ b/daemon/membership.go
@@ -0,0 +1,86 @@
+package daemon
+
+import (
+	"context"
+	mrand "math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/agategap/agategap/controller"
+	"github.com/agategap/agategap/member"
+	"github.com/agategap/agategap/target"
+)
+
+// memberService is the net/rpc front end of the membership.
+type memberService struct{ membership *controller.Membership }
+
+// Gossip answers a heartbeat.
+func (s memberService) Gossip(q member.Message, a *member.Message) error {
+	r, err := s.membership.Gossip(q)
+	*a = r
+
+	return err
+}
+
+// Check reports whether another daemon answers this one.
+func (s memberService) Check(q controller.CheckRequest, a *controller.CheckReply) error {
+	ok, err := s.membership.Check(context.Background(), q)
+	a.Answered = ok
+
+	return err
+}
+
+// List returns the last list of VMs.
+func (s memberService) List(_ controller.ListRequest, a *controller.ListReply) error {
+	*a = s.membership.List()
+
+	return nil
+}
+
+// configService is the net/rpc front end of the configuration.
+type configService struct{ membership *controller.Membership }
+
+// Fetch returns the version in force when it is newer.
+func (s configService) Fetch(q controller.FetchRequest, a *controller.FetchReply) error {
+	*a = s.membership.Fetch(q.Known)
+
+	return nil
+}
+
+// buildMembership adds the membership, and the question to targets whether they are leaving.
+func (d *Daemon) buildMembership(c *target.Client) {
+	now := time.Now()
+	s := member.Settings{
+		VM: d.settings.VM, Address: d.PeerAddress(), Domain: d.settings.FailureDomain, Region: d.settings.Region,
+		Incarnation: uint64(now.UnixMilli()), //nolint:gosec // after 1970
+		Seeds:       d.settings.Peers, Valid: validAddress,
+	}
+	r := mrand.New(mrand.NewPCG(uint64(now.UnixNano()), 1)) //nolint:gosec // choice of peers
+
+	d.membership = controller.NewMembership(s, d.client, d.config, d.targets, r, d.logger)
+	d.targets.Follow(d.membership)
+
+	_ = d.server.Register("Member", memberService{d.membership})
+	_ = d.server.Register("Config", configService{d.membership})
+
+	d.actor(d.membership.Run)
+	d.actor(controller.NewStates(d.targets, c, d.membership, d.settings.FailureDomain).Run)
+}
+
+func validAddress(a string) bool {
+	_, err := netip.ParseAddrPort(a)
+
+	return err == nil
+}
+
+// dumpMembership returns the part of the state dump.
+func (d *Daemon) dumpMembership() any {
+	p := []map[string]string{}
+	for _, v := range d.membership.Peers() {
+		p = append(p, map[string]string{"vm": v.VM(), "address": v.Address(), "failure_domain": v.Domain(), "region": v.Region()})
+	}
+
+	return map[string]any{
+		"peers": p, "counts": d.membership.Counts(), "server": d.server.Counts(), "client": d.client.Counts(),
+	}
+}
