Shut daemons down without cutting off requests

On SIGTERM the listeners were closed at once, with the requests in flight. A daemon is now not ready first, serves what arrives for drain_wait, hands its duties over, stops accepting and finishes what is in flight within drain_most. peer_keys are required for serve.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -11,6 +11,7 @@
 	mrand "math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -20,6 +21,7 @@
 	"github.com/agategap/agategap/appender"
 	"github.com/agategap/agategap/balance"
 	"github.com/agategap/agategap/controller"
+	"github.com/agategap/agategap/drain"
 	"github.com/agategap/agategap/filter"
 	"github.com/agategap/agategap/front"
 	"github.com/agategap/agategap/operator"
@@ -46,6 +48,9 @@
 	server     *peer.Server
 	client     *peer.Client
 	listeners  []net.Listener
+	drain      *controller.Drain
+	finished   chan struct{}
+	finishOnce sync.Once
 }
 
 const (
@@ -63,6 +68,7 @@
 // New returns a daemon with open listeners, so that a bad address is reported before anything runs.
 func New(s settings.Daemon, z zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{settings: s, logger: z.With().Str("vm", s.VM).Str("failure_domain", s.FailureDomain).Logger()}
+	d.finished = make(chan struct{})
 	d.holder = s.VM + "/" + incarnation()
 
 	for _, a := range []string{s.CallerAddress, s.OperatorAddress, s.PeerAddress} {
@@ -110,10 +116,11 @@
 	online := filter.OnlineChain(parts, c)
 	d.jobs = controller.NewJobs(d.store, d.config, filter.BatchChain(parts, c), d.holder, d.settings.FailureDomain, time.Now, d.logger)
 
-	d.serve(d.listeners[0], front.New(d.metrics.count(online), d.config, d.jobs, r, time.Now).Handler())
+	d.serveCallers(d.listeners[0], front.New(d.metrics.count(online), d.config, d.jobs, r, time.Now).Handler())
 	d.serve(d.listeners[1], operator.New(d, d.metrics.handler(), d.dumpers()).Handler())
 	d.group.Add(func() error { return d.server.Serve(d.listeners[2]) }, func(error) { d.server.Close(); d.client.Close() })
 	d.buildMembership(c)
+	d.drain.Subscribe("membership", d.membership.Leave)
 	d.actor(d.config.Run)
 	d.actor(d.targets.Run)
 	d.actor(d.jobs.Run)
@@ -123,16 +130,9 @@
 // recordWait bounds the wait for the log of work that is refused during an outage.
 const recordWait = 2 * time.Second
 
-// Run runs the daemon until ctx ends.
+// Run runs the daemon until ctx ends, and then shuts it down without cutting off requests.
 func (d *Daemon) Run(ctx context.Context) error {
-	d.actor(func(c context.Context) error {
-		select {
-		case <-ctx.Done():
-		case <-c.Done():
-		}
-
-		return nil
-	})
+	d.actor(func(group context.Context) error { return d.runDrain(ctx, group) })
 	d.logger.Info().Str("caller_address", d.CallerAddress()).Str("operator_address", d.OperatorAddress()).Msg("daemon started")
 
 	err := d.group.Run()
@@ -153,6 +153,10 @@
 
 // Ready reports whether the daemon takes requests.
 func (d *Daemon) Ready() (bool, string) {
+	if d.drain.Phase() != drain.Serving {
+		return false, "the daemon is shutting down"
+	}
+
 	if d.config.InForce().Offset() == 0 {
 		return false, "no configuration version is known"
 	}
@@ -171,10 +175,7 @@
 }
 
 func (d *Daemon) serve(l net.Listener, h http.Handler) {
-	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ErrorLog: log.New(io.Discard, "", 0), // a caller's broken connection is no change of state
-	}
+	s := newServer(h)
 
 	d.group.Add(func() error {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -185,6 +186,13 @@
 	}, func(error) { _ = s.Close() })
 }
 
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ErrorLog: log.New(io.Discard, "", 0), // a caller's broken connection is no change of state
+	}
+}
+
 func (d *Daemon) close() {
 	for _, l := range d.listeners {
 		_ = l.Close()
@@ -194,7 +202,7 @@
 func (d *Daemon) dumpers() map[string]operator.Dumper {
 	return map[string]operator.Dumper{
 		"daemon": operator.DumpFunc(func() any {
-			return map[string]any{"vm": d.settings.VM, "holder": d.holder, "failure_domain": d.settings.FailureDomain}
+			return map[string]any{"vm": d.settings.VM, "holder": d.holder, "phase": d.drain.Phase().String(), "failure_domain": d.settings.FailureDomain}
 		}),
 		"config": operator.DumpFunc(func() any {
 			f := d.config.InForce()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -88,6 +88,10 @@
 		checkAddress(x, l, "peers", p)
 	}
 
+	if len(d.PeerKeys) == 0 {
+		x.Addf(l, "peer_keys", "at least one is required")
+	}
+
 	for i, k := range d.PeerKeys {
 		if len(k) < MinKeyBytes {
 			x.Addf(l, "peer_keys", "key %d has %d bytes; at least %d are required", i, len(k), MinKeyBytes)
