--- a/controller/drain.go
+++ b/controller/drain.go
@@ -61,11 +61,14 @@
 	d.shutdown.Start(time.Now())
 	close(d.draining)
 
-	_, end := d.shutdown.Advance(time.Now(), false, false)
 	d.logger.Info().Msg("shutdown started; not ready, still serving")
-	time.Sleep(time.Until(end))
 
-	_, end = d.shutdown.Advance(time.Now(), false, false)
+	p, end := d.shutdown.Advance(time.Now(), false, false)
+	for p == drain.Waiting {
+		time.Sleep(time.Until(end))
+
+		p, end = d.shutdown.Advance(time.Now(), false, false)
+	}
 
 	close(d.leaving)
 	d.handOver(end)
--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -84,3 +84,6 @@
 		"peers": p, "counts": d.membership.Counts(), "server": d.server.Counts(), "client": d.client.Counts(),
 	}
 }
+
+// Membership returns the membership of the daemon.
+func (d *Daemon) Membership() *controller.Membership { return d.membership }
--- /dev/null
+++ b/daemon/membership_test.go
@@ -0,0 +1,184 @@
+package daemon_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agategap/agategap/config"
+	"github.com/agategap/agategap/controller"
+	"github.com/agategap/agategap/daemon"
+	"github.com/agategap/agategap/platform"
+	"github.com/agategap/agategap/settings"
+	"github.com/agategap/agategap/standin/engine"
+	standplatform "github.com/agategap/agategap/standin/platform"
+	"github.com/agategap/agategap/wire"
+)
+
+const peerKey = "0123456789abcdef"
+
+// site is a failure domain with one engine and its platform.
+type site struct {
+	ctx      context.Context
+	platform *standplatform.Platform
+	address  string
+	engine   *httptest.Server
+	asked    atomic.Int64 // work that reached the engine
+	vms      []platform.VM
+	daemons  []*daemon.Daemon
+	stops    []context.CancelFunc
+}
+
+func newSite(t *testing.T, n int) *site {
+	t.Helper()
+
+	x, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+
+	s := &site{ctx: x, platform: standplatform.New(standplatform.Options{})}
+	e := engine.New(engine.Options{Models: []string{"signwriter"}})
+
+	go e.Run(x.Done())
+
+	h := e.Handler()
+	s.engine = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			s.asked.Add(1)
+		}
+
+		h.ServeHTTP(w, r)
+	}))
+	t.Cleanup(s.engine.Close)
+
+	p := httptest.NewServer(s.platform.Handler())
+	t.Cleanup(p.Close)
+
+	s.address = p.Listener.Addr().String()
+	s.vms = []platform.VM{{
+		Name: "worker-1", Address: s.engine.Listener.Addr().String(), FailureDomain: "dk-fyn", Role: platform.RoleTarget,
+		Service: "signwriter", Kind: config.KindEngine, State: platform.StateLive,
+	}}
+	s.publish(t, "first", 0)
+
+	for range n {
+		s.start(t, s.address)
+	}
+
+	s.platform.SetVMs(s.vms)
+
+	return s
+}
+
+func (s *site) publish(t *testing.T, id string, base int64) {
+	t.Helper()
+
+	c, err := config.Format(config.Document{Partitions: 16, Services: []config.ServiceRecord{{Name: "signwriter", Kind: config.KindEngine}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	b, _ := (wire.Versions{}).EncodeVersion(config.Version{ID: id, Author: "test", BaseOn: base, Text: c})
+	if _, err := platform.New(s.address).Append(s.ctx, controller.ConfigStream, b); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// start starts a daemon that uses a platform address.
+func (s *site) start(t *testing.T, address string) *daemon.Daemon {
+	t.Helper()
+
+	vm := "entry-" + string(rune('a'+len(s.daemons)))
+	o := settings.Daemon{
+		VM: vm, FailureDomain: "dk-fyn", Region: "dk", CallerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0",
+		PeerAddress: "127.0.0.1:0", Platform: address, PeerKeys: []string{peerKey}, Policy: "owner",
+	}
+
+	if len(s.daemons) > 0 {
+		o.Peers = []string{s.daemons[0].PeerAddress()}
+	}
+
+	d, err := daemon.New(o, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	x, stop := context.WithCancel(s.ctx)
+
+	go func() { _ = d.Run(x) }()
+
+	s.daemons, s.stops = append(s.daemons, d), append(s.stops, stop)
+	s.vms = append(s.vms, platform.VM{
+		Name: vm, Address: d.CallerAddress(), PeerAddress: d.PeerAddress(), FailureDomain: "dk-fyn", Region: "dk",
+		Role: platform.RoleEntry, State: platform.StateLive,
+	})
+
+	return d
+}
+
+func (s *site) agree(n int) bool {
+	return eventually(func() bool {
+		return !slices.ContainsFunc(s.daemons, func(d *daemon.Daemon) bool { return len(d.Membership().Peers()) != n })
+	})
+}
+
+// Guards against a new VM that cannot start while its failure domain is cut off from the platform.
+func TestANewVMStartsFromItsPeers(t *testing.T) {
+	Convey("Given daemons with a configuration and a list", t, func() {
+		s := newSite(t, 2)
+		So(s.agree(2), ShouldBeTrue)
+		So(eventually(func() bool { ok, _ := s.daemons[0].Ready(); return ok }), ShouldBeTrue)
+
+		Convey("a VM that never reaches the platform becomes ready", func() {
+			d := s.start(t, "127.0.0.1:1")
+			So(eventually(func() bool { ok, _ := d.Ready(); return ok }), ShouldBeTrue)
+			So(s.agree(3), ShouldBeTrue)
+		})
+	})
+}
+
+// Guards against a target that says it is leaving and still gets work, through a list that shows it as live.
+func TestATargetsOwnWordCounts(t *testing.T) {
+	Convey("Given a target that says it is leaving", t, func() {
+		s := newSite(t, 3)
+		So(s.agree(3), ShouldBeTrue)
+
+		q, _ := http.NewRequest(http.MethodPut, s.engine.URL+"/control/leaving", nil)
+		a, err := http.DefaultClient.Do(q)
+		So(err, ShouldBeNil)
+		a.Body.Close()
+
+		Convey("every daemon knows within seconds, and the list does not take it back", func() {
+			known := func() bool {
+				return !slices.ContainsFunc(s.daemons, func(d *daemon.Daemon) bool {
+					return !d.Membership().Departing("worker-1", s.vms[0].Address)
+				})
+			}
+			So(eventually(known), ShouldBeTrue)
+			time.Sleep(time.Second)
+			So(known(), ShouldBeTrue)
+			So(s.asked.Load(), ShouldEqual, 0)
+		})
+	})
+}
+
+// Guards against a daemon that is shut down and stays in the views of the others, and against a shutdown without
+// a wait that does not hand over at once.
+func TestADaemonThatLeavesIsRemovedAtOnce(t *testing.T) {
+	Convey("Given three daemons", t, func() {
+		s := newSite(t, 3)
+		So(s.agree(3), ShouldBeTrue)
+
+		s.stops[2]()
+		time.Sleep(2 * time.Second) // below the time that a suspicion takes
+
+		s.daemons = s.daemons[:2]
+		So(len(s.daemons[0].Membership().Peers())+len(s.daemons[1].Membership().Peers()), ShouldEqual, 4)
+	})
+}
