--- a/controller/membership.go
+++ b/controller/membership.go
@@ -45,6 +45,8 @@
 	listReaders = 2
 	// listStale is the age from which a daemon that is not a reader reads the list itself.
 	listStale = 10 * time.Second
+	// settleTime is how long a daemon that has just started waits for a list of VMs before it goes by what it heard.
+	settleTime = 5 * time.Second
 	// farewells is the number of peers that hear at once that this daemon is leaving.
 	farewells = 4
 )
@@ -68,6 +70,7 @@
 	random   *rand.Rand
 
 	mu      sync.Mutex
+	settled bool // a list is known, or none came in time
 	closed  bool
 	version uint64
 	peers   []Peer
@@ -91,6 +94,8 @@
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 
+	start := time.Now()
+
 	for ctx.Err() == nil {
 		m.table.SetConfig(m.versions.InForce().Offset())
 
@@ -99,6 +104,7 @@
 		m.randomMu.Unlock()
 
 		m.send(l)
+		m.settle(time.Since(start) > settleTime)
 		m.refresh()
 
 		select {
@@ -117,15 +123,34 @@
 	return nil
 }
 
-// Peers returns the daemons thought live, in all failure domains, with this one unless it is leaving. The result
-// must not be changed.
+// Peers returns the daemons thought live, in all failure domains, with this one unless it is leaving. It returns
+// none before a list of VMs is known, as a daemon that sees only itself would take over what belongs to others. The
+// result must not be changed.
 func (m *Membership) Peers() []Peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
+	if !m.settled {
+		return nil
+	}
+
 	return m.peers
 }
 
+// settle makes the view visible once a list is known or the time for that is over.
+func (m *Membership) settle(late bool) {
+	_, known := m.table.ListAge(time.Now())
+
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	if !m.settled && (known || late) {
+		m.settled = true
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
+}
+
 // Changed returns a channel that is closed when the view changes next.
 func (m *Membership) Changed() <-chan struct{} {
 	m.mu.Lock()
@@ -202,6 +227,7 @@
 	}
 
 	m.table.Observe(time.Now(), r, age)
+	m.settle(false)
 	m.refresh()
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -42,7 +42,6 @@
 	config     *controller.Config
 	targets    *controller.Targets
 	membership *controller.Membership
-	jobs       *controller.Jobs
 	store      *store.Store
 	metrics    *metrics
 	server     *peer.Server
@@ -59,6 +58,8 @@
 	// appendInterval is the shortest time between two appends of one partition. At 16 partitions it allows 160
 	// appends a second for one daemon that writes them all, about half of the log's rate.
 	appendInterval = 100 * time.Millisecond
+	// appendBurst lets a quiet partition append a few groups without delay.
+	appendBurst = 4
 	// headerTimeout bounds slow callers before the body.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
@@ -104,26 +105,27 @@
 	d.metrics = newMetrics()
 	k := peer.NewKeys(d.settings.PeerKeys)
 	d.server, d.client = peer.NewServer(k), peer.NewClient(k)
-	d.store = store.New(p, wire.Groups{}, store.NewOptions(d.holder, partitions, appender.NewLimits(0, 0, appendInterval), time.Now))
+	l := appender.NewLimits(0, 0, appendInterval).WithBurst(appendBurst)
+	o := store.NewOptions(d.holder, partitions, l, time.Now).WithSnapshots(wire.Parts{}, d.settings.LogRetention.Value())
+	d.store = store.New(p, wire.Groups{}, o)
 	d.config = controller.NewConfig(p, wire.Versions{}, d.logger)
 
 	pool := balance.New(balance.LeastLoaded{}, mrand.New(mrand.NewPCG(uint64(time.Now().UnixNano()), 0))) //nolint:gosec // load balancing
 	d.targets = controller.NewTargets(w, pool, d.settings.FailureDomain)
 
-	c := target.New()
-	r := recorder{store: d.store}
-	parts := filter.NewParts(d.config, r, pool, time.Now, d.holder, recordWait)
-	online := filter.OnlineChain(parts, c)
-	d.jobs = controller.NewJobs(d.store, d.config, filter.BatchChain(parts, c), d.holder, d.settings.FailureDomain, time.Now, d.logger)
+	d.config.SetRepublisher(republisher{client: p, peers: d.peers, vm: d.settings.VM}, d.settings.LogRetention.Value(), time.Now)
 
-	d.serveCallers(d.listeners[0], front.New(d.metrics.count(online), d.config, d.jobs, r, time.Now).Handler())
-	d.serve(d.listeners[1], operator.New(d, d.metrics.handler(), d.dumpers()).Handler())
-	d.group.Add(func() error { return d.server.Serve(d.listeners[2]) }, func(error) { d.server.Close(); d.client.Close() })
+	c := target.New()
 	d.buildMembership(c)
+	v := d.buildWork(d.membership, pool, c)
+	online := filter.OnlineChain(v.parts, c)
+
+	d.serveCallers(d.listeners[0], front.New(d.metrics.count(online), d.config, v.jobs, v.journal, time.Now).Handler())
 	d.drain.Subscribe("membership", d.membership.Leave)
+	d.serve(d.listeners[1], operator.New(d, d.metrics.handler(), d.dumpers()).WithJobs(v.runner).Handler())
+	d.group.Add(func() error { return d.server.Serve(d.listeners[2]) }, func(error) { d.server.Close(); d.client.Close() })
 	d.actor(d.config.Run)
 	d.actor(d.targets.Run)
-	d.actor(d.jobs.Run)
 	d.group.Add(d.store.Wait, func(error) { d.store.Stop() })
 }
 
@@ -210,6 +212,11 @@
 			return map[string]any{"version": f.Offset(), "author": f.Version().Author, "based_on": f.Version().BaseOn}
 		}),
 		"membership": operator.DumpFunc(d.dumpMembership),
-		"store":      operator.DumpFunc(func() any { return map[string]any{"followed": d.store.Followed()} }),
+		"store": operator.DumpFunc(func() any {
+			return map[string]any{
+				"followed": d.store.Followed(), "stalled": d.store.Stalled(), "snapshots": d.store.Snapshots(),
+				"dropped": d.store.Dropped(), "rejected": d.store.Rejected(),
+			}
+		}),
 	}
 }
--- a/daemon/membership_test.go
+++ b/daemon/membership_test.go
@@ -26,7 +26,7 @@
 
 // site is a failure domain with one engine and its platform.
 type site struct {
-	ctx      context.Context
+	ctx      context.Context //nolint:containedctx // the life of the site
 	platform *standplatform.Platform
 	address  string
 	engine   *httptest.Server
--- a/job/record.go
+++ b/job/record.go
@@ -25,16 +25,20 @@
 	Body     []byte `msgpack:"body"`      // request body
 }
 
-// Items carries a run of items.
+// Items carries a run of items. It counts only for the submission that opened the job, so that two submissions
+// under one key cannot mix their items.
 type Items struct {
-	Job   string `msgpack:"job"`
-	First int    `msgpack:"first"` // index of the first item, from 0
-	Items []Item `msgpack:"items"`
+	Job    string `msgpack:"job"`
+	Digest string `msgpack:"digest"` // digest of the submission, as in Open
+	First  int    `msgpack:"first"`  // index of the first item, from 0
+	Items  []Item `msgpack:"items"`
 }
 
-// Submit accepts a job. It counts only when all items were carried before it.
+// Submit accepts a job. It counts only when all items were carried before it, and only for the submission that
+// opened the job.
 type Submit struct {
-	Job string `msgpack:"job"`
+	Job    string `msgpack:"job"`
+	Digest string `msgpack:"digest"` // digest of the submission, as in Open
 }
 
 // Lease grants a shard of items to a failure domain. The offset of the record is its fencing token.
@@ -91,12 +95,19 @@
 	Attempts int    `msgpack:"attempts"` // attempts made
 }
 
+// Try says how often a pending item was attempted without success.
+type Try struct {
+	Index    uint32 `msgpack:"index"`
+	Attempts int    `msgpack:"attempts"`
+}
+
 // Progress reports ended items of a shard and renews its lease.
 type Progress struct {
 	Job     string   `msgpack:"job"`
 	Shard   int      `msgpack:"shard"`
 	Lease   int64    `msgpack:"lease"` // offset of the lease
 	Results []Result `msgpack:"results"`
+	Tries   []Try    `msgpack:"tries"` // attempts so far, so that the bound holds across takeovers
 }
 
 // Cancel stops a job. It fences every lease, start and progress after it.
@@ -112,3 +123,29 @@
 	Priority   *int   `msgpack:"priority"`
 	DeadlineMS *int64 `msgpack:"deadline_ms"`
 }
+
+// Image is the state of a job in a snapshot, without its items and results.
+type Image struct {
+	Open     Open           `msgpack:"open"`
+	State    State          `msgpack:"state"`
+	OpenedMS int64          `msgpack:"opened_ms"` // log's time of the open record, Unix milliseconds
+	EndedMS  int64          `msgpack:"ended_ms"`  // log's time of the end, Unix milliseconds; 0 before it
+	Carried  []byte         `msgpack:"carried"`   // serialized roaring bitmaps of item indexes
+	Tries    map[uint32]int `msgpack:"tries"`     // attempts made on items that have not ended
+	Started  []byte         `msgpack:"started"`
+	Ended    []byte         `msgpack:"ended"`
+	Leases   []LeaseImage   `msgpack:"leases"`
+}
+
+// LeaseImage is a lease in force in a snapshot.
+type LeaseImage struct {
+	Lease    Lease `msgpack:"lease"`
+	Offset   int64 `msgpack:"offset"`
+	Renewals int   `msgpack:"renewals"`
+}
+
+// Results carries results of a job in a snapshot.
+type Results struct {
+	Job     string   `msgpack:"job"`
+	Results []Result `msgpack:"results"`
+}
--- a/member/bounds.go
+++ b/member/bounds.go
@@ -52,6 +52,9 @@
 	// pauseFactor is the number of probe intervals without a tick after which this process was itself paused, so that
 	// its timers say nothing about others.
 	pauseFactor = 4
+	// startup is how long a daemon that has just started trusts the list about daemons it has not heard of. It
+	// covers several probes outside the view.
+	startup = 10 * time.Second
 	// syncEvery bounds full exchanges, which cost several KB at 43 daemons.
 	syncEvery = 10 * time.Second
 	// retransmit times the logarithm of the number of daemons is how often a change is sent by each daemon.
--- a/member/probe.go
+++ b/member/probe.go
@@ -55,6 +55,7 @@
 	heal     time.Time // next probe outside the view
 	exchange time.Time // next exchange with another failure domain
 	synced   time.Time // last full exchange that was asked for
+	first    time.Time // first tick
 	ticked   time.Time
 	sync     bool     // the next probe asks for everything
 	order    []string // daemons still to be probed in this round
@@ -69,10 +70,16 @@
 // Tick returns what is due: probes, and exchanges with other failure domains. It is to be called several times
 // per probe interval.
 func (t *Table) Tick(now time.Time, r *rand.Rand) []Send {
+	was := t.probes.starting()
+
 	if gap := t.probes.tick(now, t.bounds.probe); gap > 0 {
 		t.forgive(gap)
 	}
 
+	if was && !t.probes.starting() {
+		t.version.Add(1)
+	}
+
 	t.expire(now)
 	t.departed.forget(now)
 
@@ -111,6 +118,10 @@
 	first := p.ticked.IsZero()
 	p.ticked = now
 
+	if first {
+		p.first = now
+	}
+
 	if first || gap < pauseFactor*interval {
 		return 0
 	}
@@ -120,6 +131,14 @@
 	return gap
 }
 
+// starting reports whether the daemon has just started.
+func (p *probes) starting() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.ticked.Sub(p.first) < startup
+}
+
 // due returns which activities are due. Each starts at a random point, so that daemons that start together do
 // not send together.
 func (p *probes) due(now time.Time, b Bounds, r *rand.Rand) (probe, heal, exchange bool) {
--- a/member/table.go
+++ b/member/table.go
@@ -131,11 +131,29 @@
 		}
 	}
 
+	if t.probes.starting() {
+		l = append(l, t.unheard()...)
+	}
+
 	slices.SortFunc(l, func(a, b Peer) int { return cmp.Compare(a.vm, b.vm) })
 
 	return l
 }
 
+// unheard returns the listed daemons of the failure domain of which nothing was heard. They are in the view of a
+// daemon that has just started, which would otherwise take over what belongs to others.
+func (t *Table) unheard() []Peer {
+	var l []Peer
+
+	for _, v := range t.list.daemons(t.settings.Domain) {
+		if e, ok := t.get(v.VM); v.VM != t.settings.VM && !v.Leaving && (!ok || e.change.Incarnation == 0) {
+			l = append(l, Peer{vm: v.VM, address: v.Address, domain: v.Domain, region: v.Region, state: Live})
+		}
+	}
+
+	return l
+}
+
 func inView(c Change) bool { return c.State == Live || c.State == Suspect }
 
 func (t *Table) shard(vm string) *tableShard { return &t.shards[shard.Index(vm, tableShards)] }
