--- a/daemon/adapt.go
+++ b/daemon/adapt.go
@@ -28,7 +28,12 @@
 		leaving := v.State == platform.StateLeaving
 
 		if v.Role == platform.RoleTarget {
-			r = append(r, controller.NewTargetMachine(v.Name, v.Address, v.FailureDomain, v.Region, v.Service, leaving))
+			m := controller.NewTargetMachine(v.Name, v.Address, v.FailureDomain, v.Region, v.Service, leaving)
+			if v.Kind == config.KindPlain {
+				m = m.AsPlain()
+			}
+
+			r = append(r, m)
 		} else {
 			r = append(r, controller.NewEntryMachine(v.Name, v.PeerAddress, v.FailureDomain, v.Region, leaving))
 		}
@@ -40,15 +45,15 @@
 // republisher appends the configuration again. The first entry VM by rendezvous hashing does it; copies by two VMs
 // whose lists differ have no effect.
 type republisher struct {
-	client  *platform.Client
-	targets *controller.Targets
-	vm      string
+	client *platform.Client
+	peers  func() []controller.Peer
+	vm     string
 }
 
 // Elected reports whether this VM is the first one on the list that it knows.
 func (r republisher) Elected() bool {
 	n := []string{r.vm}
-	for _, p := range r.targets.Peers() {
+	for _, p := range r.peers() {
 		n = append(n, p.VM())
 	}
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -19,6 +20,7 @@
 
 	"github.com/agategap/agategap/appender"
 	"github.com/agategap/agategap/controller"
+	"github.com/agategap/agategap/drain"
 	"github.com/agategap/agategap/filter"
 	"github.com/agategap/agategap/front"
 	"github.com/agategap/agategap/operator"
@@ -32,19 +34,23 @@
 
 // Daemon is the daemon of one entry VM.
 type Daemon struct {
-	settings  settings.Daemon
-	logger    zerolog.Logger
-	holder    string
-	group     run.Group
-	config    *controller.Config
-	targets   *controller.Targets
-	store     *store.Store
-	log       *watchedLog
-	metrics   *metrics
-	server    *peer.Server
-	client    *peer.Client
-	listeners []net.Listener
-	dumps     map[string]operator.Dumper // of parts that only some settings build
+	settings   settings.Daemon
+	logger     zerolog.Logger
+	holder     string
+	group      run.Group
+	config     *controller.Config
+	targets    *controller.Targets
+	membership *controller.Membership
+	store      *store.Store
+	log        *watchedLog
+	metrics    *metrics
+	server     *peer.Server
+	client     *peer.Client
+	listeners  []net.Listener
+	drain      *controller.Drain
+	finished   chan struct{}
+	finishOnce sync.Once
+	dumps      map[string]operator.Dumper // of parts that only some settings build
 }
 
 const (
@@ -63,7 +69,7 @@
 
 // New returns a daemon with open listeners, so that a bad address is reported before anything runs.
 func New(s settings.Daemon, z zerolog.Logger) (*Daemon, error) {
-	d := &Daemon{dumps: map[string]operator.Dumper{}, settings: s, logger: z.With().Str("vm", s.VM).Str("failure_domain", s.FailureDomain).Logger()}
+	d := &Daemon{finished: make(chan struct{}), dumps: map[string]operator.Dumper{}, settings: s, logger: z.With().Str("vm", s.VM).Str("failure_domain", s.FailureDomain).Logger()}
 	d.holder = s.VM + "/" + incarnation()
 
 	for _, a := range []string{s.CallerAddress, s.OperatorAddress, s.PeerAddress} {
@@ -108,13 +114,15 @@
 	pool := d.buildPool()
 	d.targets = controller.NewTargets(w, pool, d.settings.FailureDomain)
 
-	d.config.SetRepublisher(republisher{client: p, targets: d.targets, vm: d.settings.VM}, d.settings.LogRetention.Value(), time.Now)
+	d.config.SetRepublisher(republisher{client: p, peers: d.peers, vm: d.settings.VM}, d.settings.LogRetention.Value(), time.Now)
 
 	c := target.New()
-	v := d.buildWork(d.targets, pool, c)
+	d.buildMembership(c)
+	v := d.buildWork(d.membership, pool, c)
 	online := filter.OnlineChain(v.parts, c)
 
-	d.serve(d.listeners[0], front.New(d.metrics.count(online), d.config, v.jobs, v.journal, time.Now).Handler())
+	d.serveCallers(d.listeners[0], front.New(d.metrics.count(online), d.config, v.jobs, v.journal, time.Now).Handler())
+	d.drain.Subscribe("membership", d.membership.Leave)
 	d.serve(d.listeners[1], operator.New(d, d.metrics.handler(), d.dumpers()).WithJobs(v.runner).Handler())
 	d.group.Add(func() error { return d.server.Serve(d.listeners[2]) }, func(error) { d.server.Close(); d.client.Close() })
 	d.actor(d.config.Run)
@@ -125,16 +133,9 @@
 // recordWait bounds the wait for the log of work that is refused during an outage.
 const recordWait = 2 * time.Second
 
-// Run runs the daemon until ctx ends.
+// Run runs the daemon until ctx ends, and then shuts it down without cutting off requests.
 func (d *Daemon) Run(ctx context.Context) error {
-	d.actor(func(c context.Context) error {
-		select {
-		case <-ctx.Done():
-		case <-c.Done():
-		}
-
-		return nil
-	})
+	d.actor(func(group context.Context) error { return d.runDrain(ctx, group) })
 	d.logger.Info().Str("caller_address", d.CallerAddress()).Str("operator_address", d.OperatorAddress()).Msg("daemon started")
 
 	err := d.group.Run()
@@ -155,6 +156,10 @@
 
 // Ready reports whether the daemon takes requests.
 func (d *Daemon) Ready() (bool, string) {
+	if d.drain.Phase() != drain.Serving {
+		return false, "the daemon is shutting down"
+	}
+
 	if d.config.InForce().Offset() == 0 {
 		return false, "no configuration version is known"
 	}
@@ -173,10 +178,7 @@
 }
 
 func (d *Daemon) serve(l net.Listener, h http.Handler) {
-	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ErrorLog: log.New(io.Discard, "", 0), // a caller's broken connection is no change of state
-	}
+	s := newServer(h)
 
 	d.group.Add(func() error {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -187,6 +189,13 @@
 	}, func(error) { _ = s.Close() })
 }
 
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ErrorLog: log.New(io.Discard, "", 0), // a caller's broken connection is no change of state
+	}
+}
+
 func (d *Daemon) close() {
 	for _, l := range d.listeners {
 		_ = l.Close()
@@ -196,15 +205,16 @@
 func (d *Daemon) dumpers() map[string]operator.Dumper {
 	m := map[string]operator.Dumper{
 		"daemon": operator.DumpFunc(func() any {
-			return map[string]any{"vm": d.settings.VM, "holder": d.holder, "failure_domain": d.settings.FailureDomain}
+			return map[string]any{"vm": d.settings.VM, "holder": d.holder, "phase": d.drain.Phase().String(), "failure_domain": d.settings.FailureDomain}
 		}),
 		"config": operator.DumpFunc(func() any {
 			f := d.config.InForce()
 
 			return map[string]any{"version": f.Offset(), "author": f.Version().Author, "based_on": f.Version().BaseOn}
 		}),
-		"jobs": operator.DumpFunc(d.dumpJobs),
-		"log":  operator.DumpFunc(d.log.dump),
+		"jobs":       operator.DumpFunc(d.dumpJobs),
+		"log":        operator.DumpFunc(d.log.dump),
+		"membership": operator.DumpFunc(d.dumpMembership),
 		"store": operator.DumpFunc(func() any {
 			return map[string]any{
 				"followed": d.store.Followed(), "stalled": d.store.Stalled(), "snapshots": d.store.Snapshots(),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -124,6 +124,10 @@
 		names[p] = true
 	}
 
+	if len(d.PeerKeys) == 0 {
+		x.Addf(l, "peer_keys", "at least one is required")
+	}
+
 	for i, k := range d.PeerKeys {
 		if len(k) < MinKeyBytes {
 			x.Addf(l, fmt.Sprintf("peer_keys[%d]", i), "key %d has %d bytes; at least %d are required", i, len(k), MinKeyBytes)
