Bound callers in time and size, and add TLS with reload

Cause: a caller that stopped reading or sent its body slowly held a request for ever, an over-long batch line hid the bad lines behind it, bodies were read before the key was checked, and listeners could not be encrypted.

Change: deadlines for reading a body and for each write; all bad lines of a batch are reported; at most four batch bodies are read at a time; the key is checked before the body. Package tlsfile reads certificates again when their files change.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,8 +4,10 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"errors"
+	"log"
 	mrand "math/rand/v2"
 	"net"
 	"net/http"
@@ -26,6 +28,7 @@
 	"github.com/agategap/agategap/settings"
 	"github.com/agategap/agategap/store"
 	"github.com/agategap/agategap/target"
+	"github.com/agategap/agategap/tlsfile"
 	"github.com/agategap/agategap/wire"
 )
 
@@ -44,6 +47,8 @@
 	server    *peer.Server
 	client    *peer.Client
 	listeners []net.Listener
+
+	certificates []*tlsfile.Files
 }
 
 const (
@@ -74,7 +79,11 @@
 		d.listeners = append(d.listeners, l)
 	}
 
-	d.build()
+	if err := d.build(); err != nil {
+		d.close()
+
+		return nil, err
+	}
 
 	return d, nil
 }
@@ -89,7 +98,7 @@
 	return hex.EncodeToString(b)
 }
 
-func (d *Daemon) build() {
+func (d *Daemon) build() error {
 	p := platform.New(d.settings.Platform)
 	w := machines{client: p}
 
@@ -97,6 +106,11 @@
 	k := peer.NewKeys(d.settings.PeerKeys)
 	d.server, d.client = peer.NewServer(k), peer.NewClient(k)
 	d.log = &watchedLog{log: p}
+
+	if err := d.encrypt(); err != nil {
+		return err
+	}
+
 	d.store = store.New(d.log, wire.Groups{}, store.NewOptions(d.holder, partitions, appender.NewLimits(0, 0, appendInterval), time.Now))
 	d.config = controller.NewConfig(d.log, wire.Versions{}, d.logger)
 
@@ -109,13 +123,43 @@
 	online := filter.OnlineChain(parts, c)
 	d.jobs = controller.NewJobs(d.store, d.config, filter.BatchChain(parts, c), d.holder, d.settings.FailureDomain, time.Now, d.logger)
 
-	d.serve(d.listeners[0], front.New(d.metrics.count(online), d.config, d.jobs, r, time.Now).Handler())
+	h := front.New(d.metrics.count(online), d.config, d.jobs, r, time.Now)
+	h.SetTimeouts(d.settings.ReadTimeout.Value(), d.settings.WriteTimeout.Value())
+	d.serve(d.listeners[0], h.Handler())
 	d.serve(d.listeners[1], operator.New(d, d.metrics.handler(), d.dumpers()).Handler())
 	d.group.Add(func() error { return d.server.Serve(d.listeners[2]) }, func(error) { d.server.Close(); d.client.Close() })
 	d.actor(d.config.Run)
 	d.actor(d.targets.Run)
 	d.actor(d.jobs.Run)
 	d.group.Add(d.store.Wait, func(error) { d.store.Stop() })
+
+	return nil
+}
+
+// encrypt puts TLS on the listeners for callers and for other daemons where the settings ask for it.
+func (d *Daemon) encrypt() error {
+	if t := d.settings.CallerTLS; t.Enabled() {
+		f, err := tlsfile.New(t.Certificate, t.Key, t.Authority, time.Now)
+		if err != nil {
+			return err
+		}
+
+		d.listeners[0] = tls.NewListener(d.listeners[0], f.Server())
+		d.certificates = append(d.certificates, f)
+	}
+
+	if t := d.settings.PeerTLS; t.Enabled() {
+		f, err := tlsfile.New(t.Certificate, t.Key, t.Authority, time.Now)
+		if err != nil {
+			return err
+		}
+
+		d.listeners[2] = tls.NewListener(d.listeners[2], f.Server())
+		d.client.UseTLS(f.Client())
+		d.certificates = append(d.certificates, f)
+	}
+
+	return nil
 }
 
 // recordWait bounds the wait for the log of work that is refused during an outage.
@@ -170,6 +214,7 @@
 
 func (d *Daemon) serve(l net.Listener, h http.Handler) {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	s.ErrorLog = log.New(d.metrics, "", 0)
 
 	d.group.Add(func() error {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -197,6 +242,7 @@
 			return map[string]any{"version": f.Offset(), "author": f.Version().Author, "based_on": f.Version().BaseOn}
 		}),
 		"jobs":  operator.DumpFunc(d.dumpJobs),
+		"tls":   operator.DumpFunc(d.dumpTLS),
 		"log":   operator.DumpFunc(d.log.dump),
 		"store": operator.DumpFunc(func() any { return map[string]any{"followed": d.store.Followed()} }),
 	}
--- a/daemon/dump.go
+++ b/daemon/dump.go
@@ -76,6 +76,19 @@
 	return m
 }
 
+// dumpTLS returns the errors of certificate files that changed and could not be read.
+func (d *Daemon) dumpTLS() any {
+	l := []string{}
+
+	for _, f := range d.certificates {
+		if err := f.Err(); err != nil {
+			l = append(l, err.Error())
+		}
+	}
+
+	return map[string]any{"listeners": len(d.certificates), "errors": l}
+}
+
 // jobRecord is a job in the state dump.
 type jobRecord struct {
 	ID       string    `json:"id"`
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -38,6 +38,14 @@
 
 func (m *metrics) handler() http.Handler { return m.reporter.HTTPHandler() }
 
+// Write counts a message of an HTTP server, such as a failed TLS handshake. A stranger can cause any number of them, so
+// that they are not logged.
+func (m *metrics) Write(b []byte) (int, error) {
+	m.scope.Counter("connection_errors").Inc(1)
+
+	return len(b), nil
+}
+
 // count counts the requests that pass through a chain.
 func (m *metrics) count(h filter.Handler) filter.Handler {
 	return filter.HandlerFunc(func(ctx context.Context, r *filter.Request, s filter.Sink) error {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -27,8 +27,12 @@
 	"github.com/agategap/agategap/wire"
 )
 
-// Key is the bearer key of the demo's account.
-const Key = "demo-key"
+// Keys of the demo.
+const (
+	Key      = "demo-key"              // bearer key of account lintas
+	OtherKey = "demo-other-key"        // bearer key of account faellesvagt
+	PeerKey  = "demo-peer-key-unusual" // shared key of the daemons
+)
 
 var domains = []string{"kv-shah-alam", "kv-petaling", "kv-cheras"}
 
@@ -127,6 +131,7 @@
 	v, err := daemon.New(settings.Daemon{
 		VM: fmt.Sprintf("%s-entry-%d", domain, i), FailureDomain: domain, Region: region,
 		CallerAddress: any, OperatorAddress: any, PeerAddress: any, Platform: d.address, Policy: "owner",
+		PeerKeys: []string{PeerKey},
 	}, z)
 	if err != nil {
 		return err
@@ -144,12 +149,12 @@
 
 // publish publishes the demo's configuration.
 func (d *Demo) publish() error {
-	h := sha256.Sum256([]byte(Key))
+	hash := func(k string) []string { h := sha256.Sum256([]byte(k)); return []string{hex.EncodeToString(h[:])} }
 	ms := func(n int) tomlfile.Duration { return tomlfile.NewDuration(time.Duration(n) * time.Millisecond) }
 
 	t, err := config.Format(config.Document{
 		Partitions: 16, //nolint:mnd // the default
-		Accounts:   []config.AccountRecord{{Name: "lintas", KeyHashes: []string{hex.EncodeToString(h[:])}}},
+		Accounts:   []config.AccountRecord{{Name: "lintas", KeyHashes: hash(Key)}, {Name: "faellesvagt", KeyHashes: hash(OtherKey)}},
 		Batch:      config.BatchSettings{ShardItems: 20}, //nolint:mnd // several shards even for a small job
 		Services: []config.ServiceRecord{
 			{Name: "signwriter", Kind: config.KindEngine, Idempotent: true, Deadline: ms(10_000), IdleBound: ms(2000), MaxAttempts: 3, Hedge: true},
--- a/front/batch.go
+++ b/front/batch.go
@@ -1,9 +1,9 @@
 package front
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -30,17 +30,23 @@
 
 	seen := map[string]int{}
 
-	c := bufio.NewScanner(bytes.NewReader(b))
-	c.Buffer(make([]byte, 0, 4096), MaxLineBytes) //nolint:mnd // start size
+	for n := 1; len(b) > 0; n++ {
+		var t []byte
 
-	for n := 1; c.Scan(); n++ {
-		if len(bytes.TrimSpace(c.Bytes())) == 0 {
+		t, b, _ = bytes.Cut(b, []byte("\n"))
+		if t = bytes.TrimSpace(t); len(t) == 0 {
 			continue
 		}
 
-		var v line
-		if err := json.Unmarshal(c.Bytes(), &v); err != nil {
-			l.Addf("body", n, "line", "not valid JSON: %s", err)
+		if len(items) == journal.MaxItems {
+			l.Addf("body", n, "body", "has more than %d items; split the job", journal.MaxItems)
+
+			break
+		}
+
+		v, err := parseLine(t)
+		if err != nil {
+			l.Addf("body", n, "line", "%s", err)
 
 			continue
 		}
@@ -49,25 +55,36 @@
 		items = append(items, job.Item{CustomID: v.CustomID, Body: bytes.Clone(v.Body)})
 	}
 
-	if err := c.Err(); err != nil {
-		l.Addf("body", len(items)+1, "line", "is above %d bytes", MaxLineBytes)
-	}
-
 	if len(items) == 0 && l.Err() == nil {
 		l.Addf("body", 1, "body", "has no items")
 	}
 
-	if len(items) > journal.MaxItems {
-		l.Addf("body", journal.MaxItems+1, "body", "has %d items; a job holds at most %d", len(items), journal.MaxItems)
+	return items, l.Err()
+}
+
+func parseLine(b []byte) (line, error) {
+	var v line
+
+	if len(b) > MaxLineBytes {
+		return v, fmt.Errorf("has %d bytes, above the bound of %d", len(b), MaxLineBytes)
 	}
 
-	return items, l.Err()
+	if err := json.Unmarshal(b, &v); err != nil {
+		return v, fmt.Errorf("not valid JSON: %w", err)
+	}
+
+	return v, nil
 }
 
 func checkLine(l *finding.List, n int, v line, seen map[string]int) {
-	if v.CustomID == "" {
+	o, twice := seen[v.CustomID]
+
+	switch {
+	case v.CustomID == "":
 		l.Addf("body", n, "custom_id", "is required")
-	} else if o, ok := seen[v.CustomID]; ok {
+	case len(v.CustomID) > MaxCustomIDBytes:
+		l.Addf("body", n, "custom_id", "has %d bytes, above the bound of %d", len(v.CustomID), MaxCustomIDBytes)
+	case twice:
 		l.Addf("body", n, "custom_id", "%q is that of line %d too", v.CustomID, o)
 	}
 
@@ -89,7 +106,18 @@
 		return
 	}
 
+	select {
+	case f.bodies <- struct{}{}:
+	default:
+		writeError(w, outcome.New(outcome.Overloaded, outcome.NotRun, "the daemon is reading %d batch bodies already", maxBatchBodies).
+			WithRetryAfter(time.Second))
+
+		return
+	}
+
 	s, err := f.readJob(w, r, a.Name())
+	<-f.bodies
+
 	if err != nil {
 		writeError(w, err)
 
@@ -238,7 +266,14 @@
 
 		e := json.NewEncoder(w)
 		for _, v := range l {
-			_ = e.Encode(v)
+			// The results were copied under the lock of the partition; they are encoded without it.
+			if len(v.Body) > 0 {
+				v.Body = bodyOf(v.Body)
+			}
+
+			if e.Encode(v) != nil {
+				return
+			}
 		}
 	})
 }
@@ -253,10 +288,7 @@
 		}
 
 		t := resultLine{CustomID: b.Item(i).CustomID, Effect: v.Effect.String(), Attempts: v.Attempts, Reason: v.Reason}
-		if len(v.Body) > 0 {
-			t.Body = bodyOf(v.Body)
-		}
-
+		t.Body = v.Body
 		l = append(l, t)
 	}
 
--- a/front/front.go
+++ b/front/front.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -22,14 +23,6 @@
 	"github.com/agategap/agategap/outcome"
 )
 
-// Bounds on what a caller may send.
-const (
-	MaxBodyBytes  = 1 << 20
-	MaxBatchBytes = 64 << 20
-	MaxLineBytes  = 256 << 10
-	MaxKeyBytes   = 256
-)
-
 // Accounts finds the account of a bearer key.
 type Accounts interface {
 	Account(credential string) (filter.Account, bool)
@@ -55,11 +48,30 @@
 	jobs     Jobs
 	results  Results
 	clock    func() time.Time
+
+	readTimeout  time.Duration
+	writeTimeout time.Duration
+	bodies       chan struct{}
 }
 
 // New returns the interface in front of a chain.
 func New(c filter.Handler, a Accounts, j Jobs, r Results, clock func() time.Time) *Front {
-	return &Front{chain: c, accounts: a, jobs: j, results: r, clock: clock}
+	return &Front{
+		chain: c, accounts: a, jobs: j, results: r, clock: clock,
+		readTimeout: defaultReadTimeout, writeTimeout: defaultWriteTimeout, bodies: make(chan struct{}, maxBatchBodies),
+	}
+}
+
+// SetTimeouts sets the time for reading a request and for each write of a response; 0 leaves a value as it is. It is
+// called before Handler.
+func (f *Front) SetTimeouts(read, write time.Duration) {
+	if read > 0 {
+		f.readTimeout = read
+	}
+
+	if write > 0 {
+		f.writeTimeout = write
+	}
 }
 
 // Handler returns the routes.
@@ -78,7 +90,7 @@
 		writeError(w, outcome.New(outcome.NotFound, outcome.NotRun, "%s %s does not exist", r.Method, r.URL.Path))
 	})
 
-	return m
+	return f.bound(m)
 }
 
 // call is the part of a completion request that the system reads.
@@ -93,7 +105,7 @@
 
 func (f *Front) completion(k filter.Kind) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		b, err := readBody(w, r, MaxBodyBytes)
+		b, err := f.readRequest(w, r)
 		if err != nil {
 			writeError(w, err)
 
@@ -122,7 +134,7 @@
 }
 
 func (f *Front) plain(w http.ResponseWriter, r *http.Request) {
-	b, err := readBody(w, r, MaxBodyBytes)
+	b, err := f.readRequest(w, r)
 	if err != nil {
 		writeError(w, err)
 
@@ -237,16 +249,34 @@
 	return "req-" + hex.EncodeToString(b)
 }
 
+// readRequest reads the body of one request. The key is checked first, so that a stranger cannot make the daemon hold
+// bodies.
+func (f *Front) readRequest(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	if _, ok := f.accounts.Account(bearer(r)); !ok {
+		return nil, errUnauthenticated()
+	}
+
+	return readBody(w, r, MaxBodyBytes)
+}
+
 func readBody(w http.ResponseWriter, r *http.Request, most int64) ([]byte, error) {
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 
+	if err == nil {
+		// The deadline of the body must not end the handling of the request. After an error it stays, as the server
+		// reads what is left of the body before it answers.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	}
+
 	var m *http.MaxBytesError
 
 	switch {
 	case errors.As(err, &m):
 		return nil, outcome.New(outcome.TooLarge, outcome.NotRun, "the body is above %d bytes", most)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, outcome.New(outcome.DeadlineExceeded, outcome.NotRun, "the body did not arrive in time")
 	case err != nil:
-		return nil, outcome.New(outcome.InvalidRequest, outcome.NotRun, "the body could not be read: %s", err)
+		return nil, outcome.New(outcome.InvalidRequest, outcome.NotRun, "the body could not be read").WithCause(err)
 	}
 
 	return b, nil
--- /dev/null
+++ b/front/limit.go
@@ -0,0 +1,81 @@
+package front
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/agategap/agategap/config"
+)
+
+// Bounds on what a caller may send.
+const (
+	MaxBodyBytes     = config.MaxBodyBytes
+	MaxBatchBytes    = config.MaxBatchBytes
+	MaxLineBytes     = config.MaxLineBytes
+	MaxKeyBytes      = 256
+	MaxCustomIDBytes = 256
+
+	// maxBatchBodies bounds the batch bodies that are read at a time. Each may take 64 MiB of a small VM.
+	maxBatchBodies = 4
+	// writePiece is the largest part of a response that one write deadline covers, so that a caller on a slow
+	// network receives a large response as long as it keeps reading.
+	writePiece = 32 << 10
+
+	defaultReadTimeout  = 30 * time.Second
+	defaultWriteTimeout = 10 * time.Second
+)
+
+// bound limits the time for reading a request and for each write of its response.
+func (f *Front) bound(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := http.NewResponseController(w)
+
+		// A connection that is used again still has the deadline of its last write.
+		_ = c.SetWriteDeadline(time.Now().Add(f.writeTimeout))
+
+		if r.ContentLength != 0 {
+			_ = c.SetReadDeadline(time.Now().Add(f.readTimeout))
+		}
+
+		b := &boundWriter{ResponseWriter: w, control: c, timeout: f.writeTimeout}
+		h.ServeHTTP(b, r)
+
+		// The server writes what is buffered after the handler has returned.
+		_ = c.SetWriteDeadline(time.Now().Add(f.writeTimeout))
+	})
+}
+
+// boundWriter sets a new deadline for every write, so that a caller that stops reading is cut off and a long stream
+// is not.
+type boundWriter struct {
+	http.ResponseWriter
+	control *http.ResponseController
+	timeout time.Duration
+}
+
+// Write writes b in pieces.
+func (w *boundWriter) Write(b []byte) (int, error) {
+	n := 0
+
+	for {
+		_ = w.control.SetWriteDeadline(time.Now().Add(w.timeout))
+
+		p := b[n:min(len(b), n+writePiece)]
+
+		m, err := w.ResponseWriter.Write(p)
+		n += m
+
+		if err != nil || n == len(b) {
+			return n, err
+		}
+	}
+}
+
+// Flush sends what is buffered.
+func (w *boundWriter) Flush() {
+	_ = w.control.SetWriteDeadline(time.Now().Add(w.timeout))
+	_ = w.control.Flush()
+}
+
+// Unwrap returns the writer of the server.
+func (w *boundWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/peer/client.go
+++ b/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/rpc"
@@ -23,6 +24,7 @@
 // Client calls other daemons. It keeps one connection to each.
 type Client struct {
 	keys   Keys
+	tls    *tls.Config
 	shards [connShards]connShard
 }
 
@@ -34,6 +36,9 @@
 // NewClient returns a client.
 func NewClient(k Keys) *Client { return &Client{keys: k} }
 
+// UseTLS encrypts the connections. It is called before the first call.
+func (c *Client) UseTLS(t *tls.Config) { c.tls = t }
+
 // Call calls NAME.METHOD at an IP number with a port. When ctx ends first the call may still take effect, and the
 // connection is given up, as it may be silent for good. ErrNotSent means that it cannot have had any effect.
 func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
@@ -94,6 +99,10 @@
 		return nil, err
 	}
 
+	if c.tls != nil {
+		n = tls.Client(n, c.tls)
+	}
+
 	if err := c.keys.dial(n); err != nil {
 		_ = n.Close()
 
