Document settings, operation, interface and commands

Cause: a new user could not get from a questionnaire to a running system, and no page named the keys, the counters or the flags.

Change: a quick start in the README with example files, pages for configuration, operation and the callers' interface, and a manual page for every command. Tests compare the pages with keys, ranges, defaults, counters and flags in the code. Only POST reaches plain services, as the page says; other methods used to be sent on as POST.

--- a/front/front.go
+++ b/front/front.go
@@ -79,7 +79,7 @@
 	m := http.NewServeMux()
 	m.HandleFunc("POST /v1/chat/completions", f.completion(filter.Chat))
 	m.HandleFunc("POST /v1/completions", f.completion(filter.Completion))
-	m.HandleFunc("/services/{name}/{path...}", f.plain)
+	m.HandleFunc("POST /services/{name}/{path...}", f.plain)
 	m.HandleFunc("GET /v1/results/{key}", f.result)
 	m.HandleFunc("POST /v1/batches", f.submit)
 	m.HandleFunc("GET /v1/batches/{id}", f.status)
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -139,6 +139,13 @@
 	return f
 }
 
+// sub returns the environment of a part of a subcommand, with its own usage text.
+func (e Env) sub(name, args, desc, example string) Env {
+	e.cmd = &Cmd{Name: e.cmd.Name + " " + name, Args: args, Desc: desc, Example: example}
+
+	return e
+}
+
 // parse parses flags and checks the number of arguments behind them.
 func (e Env) parse(f *flag.FlagSet, args []string, least, most int) error {
 	if err := f.Parse(args); err != nil {
--- a/internal/cmd/cmd_job.go
+++ b/internal/cmd/cmd_job.go
@@ -45,6 +45,8 @@
 			return e.usage(e.flags(), "%q is none of submit, status, cancel, results, amend", args[0])
 		}
 
+		h := jobHelp[args[0]]
+		e = e.sub(args[0], h[0], h[1], "agategap job "+args[0]+" "+h[2])
 		f := e.flags()
 		c := newCallerFlags(f)
 		do := a(f)
@@ -79,6 +81,15 @@
 	"amend":   jobAmend,
 }
 
+// jobHelp has arguments, description and arguments of the example.
+var jobHelp = map[string][3]string{
+	"submit":  {"-service NAME [flags] FILE", "submits a file of JSON lines as a batch job and prints the job's identifier", "-service notices -deadline 8h -wait night.jsonl"},
+	"status":  {"[flags] ID", "prints the status of a job", "-wait job-1f0c"},
+	"cancel":  {"[flags] ID", "stops a job; items that ran keep their results", "job-1f0c"},
+	"results": {"[flags] ID", "prints the results of a job as JSON lines", "-o results.jsonl job-1f0c"},
+	"amend":   {"[-deadline TIME] [-priority N] [flags] ID", "changes the deadline or the priority of a job", "-deadline 2h -priority 5 job-1f0c"},
+}
+
 // jobState is the status of a job.
 type jobState struct {
 	ID       string    `json:"id"`
--- a/internal/cmd/cmd_standin.go
+++ b/internal/cmd/cmd_standin.go
@@ -35,6 +35,7 @@
 			return errUsage
 		}
 
+		e = e.sub(args[0], "[flags]", "runs a stand-in of the "+args[0]+", for tests", "agategap standin "+args[0]+" -address 127.0.0.1:7200")
 		f := e.flags()
 		a := f.String("address", "127.0.0.1:0", "listener, IP:port")
 		h := s(f)
--- /dev/null
+++ b/internal/cmd/docs_test.go
@@ -0,0 +1,257 @@
+package cmd_test
+
+import (
+	"encoding"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agategap/agategap/answers"
+	"github.com/agategap/agategap/config"
+	"github.com/agategap/agategap/finding"
+	"github.com/agategap/agategap/settings"
+)
+
+// row is one row of docs/configuration.md.
+type row struct{ key, initial, bounds string }
+
+var rowPattern = regexp.MustCompile("(?m)^\\| `([^`]+)` \\| [^|]+ \\| ([^|]+) \\| ([^|]+) \\|")
+
+func rows(title string) ([]row, error) {
+	b, err := os.ReadFile("../../docs/configuration.md")
+	if err != nil {
+		return nil, err
+	}
+
+	_, s, _ := strings.Cut(string(b), "\n## "+title+"\n")
+	s, _, _ = strings.Cut(s, "\n## ")
+
+	var l []row
+	for _, m := range rowPattern.FindAllStringSubmatch(s, -1) {
+		l = append(l, row{key: m[1], initial: strings.Trim(strings.TrimSpace(m[2]), "`"), bounds: strings.TrimSpace(m[3])})
+	}
+
+	return l, nil
+}
+
+// keys returns the dotted keys of a record.
+func keys(t reflect.Type, prefix string) []string {
+	var l []string
+
+	for i := range t.NumField() {
+		f := t.Field(i)
+		k, _, _ := strings.Cut(f.Tag.Get("toml"), ",")
+
+		switch {
+		case reflect.PointerTo(f.Type).Implements(reflect.TypeFor[encoding.TextUnmarshaler]()):
+			l = append(l, prefix+k)
+		case f.Type.Kind() == reflect.Struct:
+			l = append(l, keys(f.Type, prefix+k+".")...)
+		case f.Type.Kind() == reflect.Slice && f.Type.Elem().Kind() == reflect.Struct:
+			l = append(l, keys(f.Type.Elem(), prefix+k+"[].")...)
+		default:
+			l = append(l, prefix+k)
+		}
+	}
+
+	return l
+}
+
+var boundsPattern = regexp.MustCompile(`^([0-9][0-9a-z.]*) to ([0-9][0-9a-z.]*)`)
+
+// outside returns values just outside the bounds of a row, as TOML. There is none below 0s.
+func outside(r row) []string {
+	m := boundsPattern.FindStringSubmatch(r.bounds)
+	if m == nil {
+		return nil
+	}
+
+	if a, err := strconv.ParseFloat(m[1], 64); err == nil {
+		b, _ := strconv.ParseFloat(m[2], 64)
+		if m[1] == "0" && m[2] == "1" {
+			return []string{"-0.1", "1.1"}
+		}
+
+		return []string{fmt.Sprintf("%.0f", a-1), fmt.Sprintf("%.0f", b+1)}
+	}
+
+	a, _ := time.ParseDuration(m[1])
+	b, _ := time.ParseDuration(m[2])
+
+	return []string{fmt.Sprintf("%q", a-time.Nanosecond), fmt.Sprintf("%q", b+time.Nanosecond)}
+}
+
+// document returns a document with one value; a list of tables gets one table.
+func document(key, value string) string {
+	t, k, ok := strings.Cut(key, "[].")
+	if !ok {
+		return key + " = " + value + "\n"
+	}
+
+	form := ""
+	if t == "flows" {
+		form = "form = \"batch\"\n"
+	}
+
+	return "[[" + t + "]]\n" + form + k + " = " + value + "\n"
+}
+
+// Guards against a page that misses a key, names one that does not exist, or states another range than the code has.
+func TestConfigurationPage(t *testing.T) {
+	for _, c := range []struct {
+		title string
+		of    reflect.Type
+		parse func(string) error
+	}{
+		{"Settings", reflect.TypeFor[settings.Daemon](), func(s string) error { _, err := settings.ParseDaemon("f", []byte(s)); return err }},
+		{"Published configuration", reflect.TypeFor[config.Document](), func(s string) error { _, err := config.Parse("f", []byte(s)); return err }},
+		{"Questionnaire", reflect.TypeFor[answers.Questionnaire](), func(s string) error { _, err := answers.Generate("f", []byte(s)); return err }},
+	} {
+		Convey(c.title+" has exactly the keys of the code, with their ranges", t, func() {
+			l, err := rows(c.title)
+			So(err, ShouldBeNil)
+
+			var got []string
+
+			for _, r := range l {
+				got = append(got, r.key)
+
+				for _, v := range outside(r) {
+					So(findingAt(c.parse(document(r.key, v)), strings.Replace(r.key, "[]", "[0]", 1)), ShouldNotBeEmpty)
+				}
+			}
+
+			want := keys(c.of, "")
+
+			slices.Sort(got)
+			slices.Sort(want)
+			So(got, ShouldResemble, want)
+		})
+	}
+}
+
+// findingAt returns the message of the finding at a key.
+func findingAt(err error, key string) string {
+	var l *finding.List
+	if !errors.As(err, &l) {
+		return ""
+	}
+
+	for _, f := range l.Findings() {
+		if f.Key() == key {
+			return f.Message()
+		}
+	}
+
+	return ""
+}
+
+// Guards against a page that states another default than the code has.
+func TestConfigurationPageDefaults(t *testing.T) {
+	Convey("The defaults of the published configuration are those of the code", t, func() {
+		d := config.Default()
+		s := config.DefaultService()
+		s.Name, s.Kind = "x", config.KindPlain
+		d.Services = append(d.Services, s)
+		b, err := config.Marshal(d)
+		So(err, ShouldBeNil)
+
+		l, err := rows("Published configuration")
+		So(err, ShouldBeNil)
+
+		checked := 0
+
+		for _, r := range l {
+			k := r.key[strings.LastIndexAny(r.key, ".")+1:]
+			if strings.HasPrefix(r.key, "accounts") || strings.HasPrefix(r.key, "targets") || r.initial == "-" || r.initial == "the name" {
+				continue
+			}
+
+			checked++
+			// go-toml writes texts with single quotes.
+			So(string(b), ShouldContainSubstring, k+" = "+strings.ReplaceAll(r.initial, `"`, "'"))
+		}
+
+		So(checked, ShouldBeGreaterThan, 15)
+	})
+}
+
+// Guards against an operator who meets a counter or a line of the status screen without a page about it.
+func TestOperationsPage(t *testing.T) {
+	Convey("Every counter and every section that status names is on the page", t, func() {
+		b, err := os.ReadFile("../../docs/operations.md")
+		So(err, ShouldBeNil)
+
+		page := string(b)
+		named := regexp.MustCompile(`(?:Counter|Gauge|Histogram|Timer)\("([a-z_]+)"`)
+		section := regexp.MustCompile(`s\.addf\("([a-z-]+)"`)
+
+		err = filepath.WalkDir("../..", func(p string, _ os.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(p, ".go") || strings.HasSuffix(p, "_test.go") {
+				return err
+			}
+
+			s, err := os.ReadFile(p)
+
+			for _, m := range named.FindAllSubmatch(s, -1) {
+				So(page, ShouldContainSubstring, "`agategap_"+string(m[1])+"`")
+			}
+
+			for _, m := range section.FindAllSubmatch(s, -1) {
+				So(strings.ToLower(page), ShouldContainSubstring, "\n## "+strings.ReplaceAll(string(m[1]), "-", " ")+"\n")
+			}
+
+			return err
+		})
+		So(err, ShouldBeNil)
+	})
+}
+
+// Guards against a command or a flag without a manual page, and against help without an example.
+func TestManualPages(t *testing.T) {
+	Convey("Every command has a page with all its flags", t, func() {
+		_, out, _ := run("help")
+		command := regexp.MustCompile(`(?m)^  ([a-z]+) `)
+		flag := regexp.MustCompile(`(?m)^  -([a-z-]+)`)
+
+		l := command.FindAllStringSubmatch(out, -1)
+		So(len(l), ShouldBeGreaterThan, 8)
+
+		for _, m := range l {
+			b, err := os.ReadFile("../../man/agategap-" + m[1] + ".1.md")
+			So(err, ShouldBeNil)
+
+			for _, a := range [][]string{
+				{m[1], "-h"},
+				{m[1], "submit", "-h"},
+				{m[1], "status", "-h"},
+				{m[1], "results", "-h"},
+				{m[1], "amend", "-h"},
+				{m[1], "platform", "-h"},
+				{m[1], "engine", "-h"},
+				{m[1], "service", "-h"},
+			} {
+				if len(a) == 3 && m[1] != "job" && m[1] != "standin" {
+					continue
+				}
+
+				_, _, help := run(a...)
+				So(help, ShouldContainSubstring, "Example:")
+
+				for _, f := range flag.FindAllStringSubmatch(help, -1) {
+					So(string(b), ShouldContainSubstring, "`-"+f[1]+"`")
+				}
+			}
+		}
+	})
+}
