--- a/answers/check.go
+++ b/answers/check.go
@@ -292,14 +292,9 @@
 }
 
 func (c checker) name(key, name string, names map[string]bool) {
-	switch {
-	case name == "":
-		c.addf(key, "is required")
-	case names[name]:
-		c.addf(key, "%q occurs twice", name)
+	if p := config.NameProblem(name, names); p != "" {
+		c.addf(key, "%s", p)
 	}
-
-	names[name] = true
 }
 
 func (c checker) within(key string, v, least, most int) {
--- a/config/check.go
+++ b/config/check.go
@@ -4,7 +4,9 @@
 	"encoding/hex"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
+	"unicode"
 
 	"github.com/pelletier/go-toml/v2"
 
@@ -189,14 +191,32 @@
 )
 
 func checkName(x tomlfile.Index, l *finding.List, key, name string, names map[string]bool) {
+	if p := NameProblem(name, names); p != "" {
+		x.Addf(l, key, "%s", p)
+	}
+}
+
+// MaxNameBytes bounds names.
+const MaxNameBytes = 128
+
+// NameProblem returns what is wrong with a name, and adds it to the names that occurred. A control character would let
+// the name of an account pass for another account with a key.
+func NameProblem(name string, names map[string]bool) string {
+	twice := names[name]
+	names[name] = true
+
 	switch {
 	case name == "":
-		x.Addf(l, key, "is required")
-	case names[name]:
-		x.Addf(l, key, "%q occurs twice", name)
+		return "is required"
+	case len(name) > MaxNameBytes:
+		return fmt.Sprintf("has %d bytes, above the bound of %d", len(name), MaxNameBytes)
+	case strings.ContainsFunc(name, unicode.IsControl):
+		return fmt.Sprintf("%q has a control character", name)
+	case twice:
+		return fmt.Sprintf("%q occurs twice", name)
 	}
 
-	names[name] = true
+	return ""
 }
 
 func count(x tomlfile.Index, l *finding.List, key string, v, most int) {
--- a/internal/cmd/cmd_check.go
+++ b/internal/cmd/cmd_check.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 
-	"github.com/gravitational/trace"
-
 	"github.com/agategap/agategap/answers"
 	"github.com/agategap/agategap/config"
 	"github.com/agategap/agategap/finding"
@@ -96,9 +94,11 @@
 }
 
 func checkFile(l *finding.List, path, kind string) {
+	var o *finding.List
+
 	b, err := readFile(path)
-	if err != nil {
-		l.Addf(path, 0, "file", "%s", trace.UserMessage(err))
+	if errors.As(err, &o) {
+		l.Append(o)
 
 		return
 	}
@@ -118,7 +118,6 @@
 		}
 	}
 
-	var o *finding.List
 	if err := checkers[kind](path, b); errors.As(err, &o) {
 		l.Append(o)
 	}
--- a/internal/cmd/cmd_publish.go
+++ b/internal/cmd/cmd_publish.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/agategap/agategap/config"
+	"github.com/agategap/agategap/finding"
 	"github.com/agategap/agategap/outcome"
 	"github.com/agategap/agategap/platform"
 )
@@ -27,7 +28,7 @@
 		f.StringVar(&p.author, "author", os.Getenv("USER"), "name of the operator")
 		f.BoolVar(&p.dry, "n", false, "show the difference and publish nothing")
 		f.BoolVar(&p.wait, "wait", false, "wait until every reachable daemon has adopted the version")
-		f.DurationVar(&p.timeout, "timeout", defaultAdoptWait, "longest time for -wait")
+		f.DurationVar(&p.timeout, "timeout", defaultAdoptWait, "longest time for -wait, and for finding a version in the stream whose append response was lost")
 		d := f.String("daemons", "", "operator addresses of the daemons for -wait, separated by commas; those of the platform's list when empty")
 
 		if err := e.parse(f, args, 1, 1); err != nil {
@@ -47,7 +48,7 @@
 			return err
 		}
 
-		p.client, p.text, p.based, p.daemons = platform.New(*a), t, *b, *d
+		p.client, p.text, p.based, p.daemons, p.path = platform.New(*a), t, *b, *d, f.Arg(0)
 
 		return p.run(ctx)
 	},
@@ -59,6 +60,7 @@
 // publication is one call of the command.
 type publication struct {
 	env      Env
+	path     string
 	client   *platform.Client
 	text     []byte
 	document config.Document
@@ -77,6 +79,10 @@
 	}
 
 	f := v.ledger.InForce()
+	if err := p.checkPartitions(f); err != nil {
+		return err
+	}
+
 	l := config.Difference(f.Document(), p.document)
 	p.show(f, l)
 
@@ -88,12 +94,12 @@
 		p.based = f.Offset()
 	}
 
-	if err := v.publish(ctx, p.client, config.Version{ID: newID(), BaseOn: p.based, Author: p.author, Text: p.text}); err != nil {
+	if err := v.publish(ctx, p.client, config.Version{ID: newID(), BaseOn: p.based, Author: p.author, Text: p.text}, p.timeout); err != nil {
 		return err
 	}
 
 	if v.verdict != config.Adopted {
-		return p.refused(v, f)
+		return p.refused(v)
 	}
 
 	p.env.printf("version %d is in force\n", v.offset)
@@ -105,6 +111,19 @@
 	return p.await(ctx, v.offset)
 }
 
+// checkPartitions refuses another number of partitions, as work would no longer be found under its key.
+func (p *publication) checkPartitions(f config.InForce) error {
+	if f.Offset() == 0 || f.Document().Partitions == p.document.Partitions {
+		return nil
+	}
+
+	var l finding.List
+
+	l.Addf(p.path, 1, "partitions", "%d partitions are in force and %d in the file; the number cannot be changed", f.Document().Partitions, p.document.Partitions)
+
+	return l.Err()
+}
+
 func (p *publication) show(f config.InForce, l []config.Change) {
 	if f.Offset() == 0 {
 		p.env.printf("no version is in force yet\n")
@@ -121,21 +140,17 @@
 	}
 }
 
-// refused reports why a version did not come into force. shown is the version that the difference was shown against.
-func (p *publication) refused(v *versions, shown config.InForce) error {
+// refused reports why a version did not come into force.
+func (p *publication) refused(v *versions) error {
 	if v.verdict == config.Invalid {
 		return outcome.New(outcome.InvalidRequest, outcome.NotRun, "the daemons refuse the version as invalid").WithCause(v.err)
 	}
 
 	r := v.rival
-	p.env.printf("version %d by %q is in force instead", r.Offset(), r.Version().Author)
-
-	if r.Offset() == shown.Offset() {
-		p.env.printf("\n")
-	} else {
-		p.env.printf("; it changed, after the difference was shown:\n")
+	if b, ok := v.adopted[p.based]; ok {
+		p.env.printf("version %d by %q is in force; since version %d, on which yours is based:\n", r.Offset(), r.Version().Author, p.based)
 
-		for _, c := range config.Difference(shown.Document(), r.Document()) {
+		for _, c := range config.Difference(b.Document(), r.Document()) {
 			p.env.printf("  %s\n", c)
 		}
 	}
--- a/internal/cmd/cmd_serve.go
+++ b/internal/cmd/cmd_serve.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/agategap/agategap/daemon"
+	"github.com/agategap/agategap/finding"
 	"github.com/agategap/agategap/settings"
 )
 
@@ -53,10 +54,18 @@
 	return settings.ParseDaemon(path, b)
 }
 
+// readFile reads a file that the operator names. The error is a *finding.List.
 func readFile(path string) ([]byte, error) {
 	b, err := os.ReadFile(path) //nolint:gosec // the operator names the file
+	if err == nil {
+		return b, nil
+	}
+
+	var l finding.List
+
+	l.Addf(path, 0, "file", "cannot be read: %s", trace.UserMessage(trace.ConvertSystemError(err)))
 
-	return b, trace.ConvertSystemError(err)
+	return nil, l.Err()
 }
 
 func logger(e Env, level string) zerolog.Logger {
--- a/internal/cmd/operate_test.go
+++ b/internal/cmd/operate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -45,11 +46,19 @@
 				So(out, ShouldContainSubstring, "nothing is published")
 				So(p.Appends(), ShouldEqual, 2)
 			})
-			Convey("a version based on an older one is refused and names the other operator", func() {
-				code, _, errs := run("publish", "-platform", a, "-based-on", "1", one)
+			Convey("a version based on an older one is refused and names the other operator and the changes", func() {
+				code, out, errs := run("publish", "-platform", a, "-based-on", "1", one)
 				So(code, ShouldEqual, 3)
+				So(out, ShouldContainSubstring, `version 2 by "bo" is in force; since version 1`)
+				So(strings.Count(out, `~ services[x].deadline = "1s" -> "2s"`), ShouldEqual, 1)
 				So(errs, ShouldContainSubstring, `version 2 by "bo" is in force, and yours is based on version 1`)
 			})
+			Convey("another number of partitions is refused, as it cannot be changed", func() {
+				code, _, errs := run("publish", "-platform", a, write(t, "p.toml", "partitions = 8\n"))
+				So(code, ShouldEqual, 2)
+				So(errs, ShouldContainSubstring, "p.toml:1: partitions: 16 partitions are in force")
+				So(p.Appends(), ShouldEqual, 2)
+			})
 			Convey("config prints the version in force", func() {
 				code, out, _ := run("config", "-platform", a)
 				So(code, ShouldEqual, 0)
@@ -70,6 +79,38 @@
 			So(code, ShouldEqual, 3)
 			So(p.Appends(), ShouldEqual, 0)
 		})
+		Convey("of two publications on the same version one comes into force", func() {
+			codes := make(chan int, 2)
+
+			for _, f := range []string{one, two} {
+				go func() {
+					c, _, _ := run("publish", "-platform", a, "-based-on", "0", f)
+					codes <- c
+				}()
+			}
+
+			So(<-codes+<-codes, ShouldEqual, 3)
+			So(p.Appends(), ShouldEqual, 2)
+		})
+		Convey("a version that is not in the stream after a lost response has an unknown outcome", func() {
+			// The responses of all appends are lost, and the appends too.
+			x := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodPost {
+					panic(http.ErrAbortHandler)
+				}
+
+				p.Handler().ServeHTTP(w, r)
+			}))
+			defer x.Close()
+
+			code, _, _ := run("publish", "-platform", strings.TrimPrefix(x.URL, "http://"), "-timeout", "300ms", one)
+			So(code, ShouldEqual, 4)
+		})
+		Convey("a missing file is a finding", func() {
+			code, _, errs := run("publish", "-platform", a, "none.toml")
+			So(code, ShouldEqual, 2)
+			So(errs, ShouldStartWith, "none.toml:0: file: cannot be read")
+		})
 		Convey("an invalid file has findings and is not published", func() {
 			code, _, errs := run("publish", "-platform", a, write(t, "bad.toml", "partitions = 0\n"))
 			So(code, ShouldEqual, 2)
--- a/internal/cmd/versions.go
+++ b/internal/cmd/versions.go
@@ -24,6 +24,8 @@
 	err     error
 	// rival is the version in force when the publication was replayed.
 	rival config.InForce
+	// adopted has the versions that were in force, by offset.
+	adopted map[int64]config.InForce
 }
 
 // readMore replays what the stream has from where the last call ended. It waits for a new record at most for wait.
@@ -73,6 +75,14 @@
 	}
 
 	d, err := apply(e.Offset(), r)
+	if d == config.Adopted {
+		if v.adopted == nil {
+			v.adopted = map[int64]config.InForce{}
+		}
+
+		v.adopted[e.Offset()] = v.ledger.InForce()
+	}
+
 	if r.ID == v.sought && v.offset == 0 {
 		v.offset, v.verdict, v.err, v.rival = e.Offset(), d, err, before
 	}
@@ -85,12 +95,9 @@
 	return v, v.readMore(ctx, c, 0)
 }
 
-// lostWait is how long a publication whose append response was lost is looked for in the stream. It is longer than
-// the log takes to append.
-const lostWait = 10 * time.Second
-
-// publish appends a version and reads the stream to find out what became of it.
-func (v *versions) publish(ctx context.Context, c *platform.Client, r config.Version) error {
+// publish appends a version and reads the stream to find out what became of it. A version whose append response was
+// lost is looked for until wait has passed.
+func (v *versions) publish(ctx context.Context, c *platform.Client, r config.Version, wait time.Duration) error {
 	b, err := (wire.Versions{}).EncodeVersion(r)
 	if err != nil {
 		return err
@@ -103,12 +110,12 @@
 		return outcome.New(outcome.LogUnavailable, outcome.NotRun, "the log refused the version; publish it again later").WithCause(err)
 	}
 
-	return v.resolve(ctx, c)
+	return v.resolve(ctx, c, wait)
 }
 
 // resolve reads the stream until the sought publication shows up.
-func (v *versions) resolve(ctx context.Context, c *platform.Client) error {
-	x, cancel := context.WithTimeout(ctx, lostWait)
+func (v *versions) resolve(ctx context.Context, c *platform.Client, wait time.Duration) error {
+	x, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 
 	for {
