Tell an untrusted daemon from a lost answer and name the operator of a publication

Cause: a certificate that was not accepted ended job commands with the exit code for an unknown outcome although nothing was sent, a publication without -author had none where USER is not set, and a first record that could not be decoded was taken for one that retention had dropped.

Change: such a call counts as not sent; the author defaults to the user of the process and is required; only dropped records let a version in without its base.

--- a/answers/answers_test.go
+++ b/answers/answers_test.go
@@ -37,6 +37,10 @@
 			So(err, ShouldBeNil)
 			So(len(s), ShouldEqual, n)
 
+			for _, v := range s {
+				So(v.RetainResults.Value(), ShouldBeGreaterThan, v.Deadline.Value())
+			}
+
 			b, err := config.Marshal(r.Document())
 			So(err, ShouldBeNil)
 
--- a/internal/cmd/caller.go
+++ b/internal/cmd/caller.go
@@ -132,11 +132,13 @@
 	return nil, errNotSent(last)
 }
 
-// notSent reports whether the connection was never made.
+// notSent reports whether the connection was never made or its certificate was not accepted.
 func notSent(err error) bool {
 	var o *net.OpError
 
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &o) && o.Op == "dial"
+	var c *tls.CertificateVerificationError
+
+	return errors.As(err, &c) || errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &o) && o.Op == "dial"
 }
 
 func (c *caller) once(ctx context.Context, method, url, key string, body []byte) (io.ReadCloser, error) {
--- a/internal/cmd/cmd_demo.go
+++ b/internal/cmd/cmd_demo.go
@@ -80,5 +80,7 @@
     -H 'Idempotency-Key: notice-1' -d '{"operator":"mall-7","amount":120}'
   agategap config -platform %[2]s
   agategap dump -address %[3]s
+  agategap status -platform %[2]s
+  AGATEGAP_KEY=%[4]s agategap job submit -address %[1]s -service signwriter -wait examples/notices.jsonl
 `, d.Caller(0), d.Platform(), d.Operator(0), demo.Key)
 }
--- a/internal/cmd/cmd_publish.go
+++ b/internal/cmd/cmd_publish.go
@@ -5,7 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
-	"os"
+	"os/user"
 	"time"
 
 	"github.com/agategap/agategap/config"
@@ -25,7 +25,7 @@
 
 		a := f.String("platform", "", "address of the platform, IP:port")
 		b := f.Int64("based-on", -1, "version that the configuration was based on, 0 for none; the version in force when not given")
-		f.StringVar(&p.author, "author", os.Getenv("USER"), "name of the operator")
+		f.StringVar(&p.author, "author", userName(), "name of the operator")
 		f.BoolVar(&p.dry, "n", false, "show the difference and publish nothing")
 		f.BoolVar(&p.wait, "wait", false, "wait until every reachable daemon has adopted the version")
 		f.DurationVar(&p.timeout, "timeout", defaultAdoptWait, "longest time for -wait, and for finding a version in the stream whose append response was lost")
@@ -35,8 +35,8 @@
 			return err
 		}
 
-		if *a == "" {
-			return e.usage(f, "-platform is required")
+		if *a == "" || p.author == "" {
+			return e.usage(f, "-platform and -author are required")
 		}
 
 		t, err := readFile(f.Arg(0))
@@ -214,6 +214,16 @@
 	}
 }
 
+// userName returns the name of the operator at this machine; empty when it has none.
+func userName() string {
+	u, err := user.Current()
+	if err != nil {
+		return ""
+	}
+
+	return u.Username
+}
+
 func newID() string {
 	const bytes = 12
 
--- a/internal/cmd/operate_test.go
+++ b/internal/cmd/operate_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/pem"
 	"fmt"
+	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -193,6 +196,21 @@
 		So(errs, ShouldContainSubstring, "bad.jsonl:1: custom_id: is required")
 		So(errs, ShouldContainSubstring, "bad.jsonl:2: line: not valid JSON")
 	})
+	Convey("A daemon with TLS is trusted by its authority only", t, func() {
+		s := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, `{"id":"j","state":"finished"}`)
+		}))
+		s.Config.ErrorLog = log.New(io.Discard, "", 0)
+		defer s.Close()
+
+		p := write(t, "a.pem", string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: s.Certificate().Raw})))
+		code, out, _ := run("job", "status", "-address", s.Listener.Addr().String(), "-authority", p, "j")
+		So(code, ShouldEqual, 0)
+		So(out, ShouldStartWith, "j finished")
+
+		code, _, _ = run("job", "status", "-address", s.URL, "j")
+		So(code, ShouldEqual, 3)
+	})
 	Convey("dump, config and status read the daemons", t, func() {
 		code, out, _ := run("dump", "-daemons", daemons)
 		So(code, ShouldEqual, 0)
--- a/internal/cmd/versions.go
+++ b/internal/cmd/versions.go
@@ -17,6 +17,8 @@
 type versions struct {
 	ledger config.Ledger
 	next   int64
+	// dropped means that retention dropped records before the first one that was read.
+	dropped bool
 	// sought is the identifier of a publication whose fate is looked for.
 	sought  string
 	offset  int64
@@ -35,7 +37,7 @@
 	for {
 		p, err := c.Read(ctx, controller.ConfigStream, v.next, wait)
 		if errors.Is(err, stream.ErrDropped) {
-			v.next = p.Oldest()
+			v.next, v.dropped = p.Oldest(), true
 
 			continue
 		}
@@ -57,7 +59,7 @@
 }
 
 func (v *versions) replay(e stream.Entry) {
-	first := v.next > 1 && v.ledger.InForce().Offset() == 0
+	first := v.dropped && v.ledger.InForce().Offset() == 0
 	v.next = e.Offset() + 1
 
 	r, err := (wire.Versions{}).DecodeVersion(e.Data())
