--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,9 +4,9 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"errors"
-	"io"
 	"log"
 	"maps"
 	"net"
@@ -29,6 +29,7 @@
 	"github.com/agategap/agategap/settings"
 	"github.com/agategap/agategap/store"
 	"github.com/agategap/agategap/target"
+	"github.com/agategap/agategap/tlsfile"
 	"github.com/agategap/agategap/wire"
 )
 
@@ -51,6 +52,8 @@
 	finished   chan struct{}
 	finishOnce sync.Once
 	dumps      map[string]operator.Dumper // of parts that only some settings build
+
+	certificates []*tlsfile.Files
 }
 
 const (
@@ -83,7 +86,11 @@
 		d.listeners = append(d.listeners, l)
 	}
 
-	d.build()
+	if err := d.build(); err != nil {
+		d.close()
+
+		return nil, err
+	}
 
 	return d, nil
 }
@@ -98,7 +105,7 @@
 	return hex.EncodeToString(b)
 }
 
-func (d *Daemon) build() {
+func (d *Daemon) build() error {
 	p := platform.New(d.settings.Platform)
 	w := machines{client: p}
 
@@ -106,6 +113,11 @@
 	k := peer.NewKeys(d.settings.PeerKeys)
 	d.server, d.client = peer.NewServer(k), peer.NewClient(k)
 	d.log = &watchedLog{log: p}
+
+	if err := d.encrypt(); err != nil {
+		return err
+	}
+
 	l := appender.NewLimits(0, 0, appendInterval).WithBurst(appendBurst)
 	o := store.NewOptions(d.holder, partitions, l, time.Now).WithSnapshots(wire.Parts{}, d.settings.LogRetention.Value())
 	d.store = store.New(d.log, wire.Groups{}, o)
@@ -121,13 +133,43 @@
 	v := d.buildWork(d.membership, pool, c)
 	online := filter.OnlineChain(v.parts, c)
 
-	d.serveCallers(d.listeners[0], front.New(d.metrics.count(online), d.config, v.jobs, v.journal, time.Now).Handler())
+	h := front.New(d.metrics.count(online), d.config, v.jobs, v.journal, time.Now)
+	h.SetTimeouts(d.settings.ReadTimeout.Value(), d.settings.WriteTimeout.Value())
+	d.serveCallers(d.listeners[0], h.Handler())
 	d.drain.Subscribe("membership", d.membership.Leave)
 	d.serve(d.listeners[1], operator.New(d, d.metrics.handler(), d.dumpers()).WithJobs(v.runner).Handler())
 	d.group.Add(func() error { return d.server.Serve(d.listeners[2]) }, func(error) { d.server.Close(); d.client.Close() })
 	d.actor(d.config.Run)
 	d.actor(d.targets.Run)
 	d.group.Add(d.store.Wait, func(error) { d.store.Stop() })
+
+	return nil
+}
+
+// encrypt puts TLS on the listeners for callers and for other daemons where the settings ask for it.
+func (d *Daemon) encrypt() error {
+	if t := d.settings.CallerTLS; t.Enabled() {
+		f, err := tlsfile.New(t.Certificate, t.Key, t.Authority, time.Now)
+		if err != nil {
+			return err
+		}
+
+		d.listeners[0] = tls.NewListener(d.listeners[0], f.Server())
+		d.certificates = append(d.certificates, f)
+	}
+
+	if t := d.settings.PeerTLS; t.Enabled() {
+		f, err := tlsfile.New(t.Certificate, t.Key, t.Authority, time.Now)
+		if err != nil {
+			return err
+		}
+
+		d.listeners[2] = tls.NewListener(d.listeners[2], f.Server())
+		d.client.UseTLS(f.Client())
+		d.certificates = append(d.certificates, f)
+	}
+
+	return nil
 }
 
 // recordWait bounds the wait for the log of work that is refused during an outage.
@@ -178,7 +220,7 @@
 }
 
 func (d *Daemon) serve(l net.Listener, h http.Handler) {
-	s := newServer(h)
+	s := d.newServer(h)
 
 	d.group.Add(func() error {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -189,10 +231,10 @@
 	}, func(error) { _ = s.Close() })
 }
 
-func newServer(h http.Handler) *http.Server {
+func (d *Daemon) newServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ErrorLog: log.New(io.Discard, "", 0), // a caller's broken connection is no change of state
+		ErrorLog: log.New(d.metrics, "", 0), // a broken connection is counted, as it is no change of state
 	}
 }
 
@@ -214,6 +256,7 @@
 		}),
 		"jobs":       operator.DumpFunc(d.dumpJobs),
 		"log":        operator.DumpFunc(d.log.dump),
+		"tls":        operator.DumpFunc(d.dumpTLS),
 		"membership": operator.DumpFunc(d.dumpMembership),
 		"store": operator.DumpFunc(func() any {
 			return map[string]any{
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -40,7 +40,7 @@
 		most = defaultDrainMost
 	}
 
-	s := newServer(nil)
+	s := d.newServer(nil) // the handler needs d.drain, which needs the server
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// Connections then end between two requests, which closing idle ones could not ensure.
 		if d.drain.Phase() != drain.Serving {
--- a/peer/auth.go
+++ b/peer/auth.go
@@ -25,7 +25,7 @@
 	keys [][]byte
 }
 
-// NewKeys returns keys. Without any, connections are not authenticated; settings of daemons require one.
+// NewKeys returns keys. Without any, connections are not authenticated; settings require one unless the peer address is loopback.
 func NewKeys(k []string) Keys {
 	var l Keys
 	for _, v := range k {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -124,8 +124,8 @@
 		names[p] = true
 	}
 
-	if len(d.PeerKeys) == 0 {
-		x.Addf(l, "peer_keys", "at least one is required")
+	if a, err := netip.ParseAddrPort(d.PeerAddress); err == nil && len(d.PeerKeys) == 0 && !a.Addr().IsLoopback() {
+		x.Addf(l, "peer_keys", "is required, as %s is reachable from other machines", d.PeerAddress)
 	}
 
 	for i, k := range d.PeerKeys {
@@ -134,10 +134,6 @@
 		}
 	}
 
-	if a, err := netip.ParseAddrPort(d.PeerAddress); err == nil && len(d.PeerKeys) == 0 && !a.Addr().IsLoopback() {
-		x.Addf(l, "peer_keys", "is required, as %s is reachable from other machines", d.PeerAddress)
-	}
-
 	oneOf(x, l, "log_level", d.LogLevel, "debug", "info", "warn", "error")
 	oneOf(x, l, "policy", d.Policy, "round_robin", "least_loaded", "power_of_two", "owner")
 	d.DrainWait.Check(x, l, "drain_wait", 0, mostDrain)
