--- a/balance/pool.go
+++ b/balance/pool.go
@@ -68,6 +68,7 @@
 	members []*member // of this failure domain
 	remote  []*member // of other failure domains
 	spill   *retry.Budget
+	line    line // of batch work
 }
 
 // New returns a pool with a policy and a random source that only the pool uses. Without a granter, every request gets
@@ -132,6 +133,13 @@
 	h := p.shard(r.ServiceName())
 	h.spill.Request(p.shares.SpillShare())
 
+	if r.Class() == filter.Batch && p.granter != nil {
+		if err := h.line.enter(ctx, r); err != nil {
+			return nil, err
+		}
+		defer h.line.leave()
+	}
+
 	s, err := p.acquire(ctx, h, r, exclude, false)
 	if err == nil || r.Class() == filter.Batch || ctx.Err() != nil || !filter.NoSlot(err) {
 		return s, err
--- a/retry/hedge.go
+++ b/retry/hedge.go
@@ -15,7 +15,7 @@
 	// leastHedge bounds the hedge time from below, as timers and schedulers are no finer.
 	leastHedge = 5 * time.Millisecond
 	// hedgeSamples is the number of first tokens before a service is hedged, and between two computations.
-	hedgeSamples = 50
+	hedgeSamples = 16
 	// windows and windowSamples bound how far back first tokens count.
 	windows       = 4
 	windowSamples = 500
--- a/sched/lane.go
+++ b/sched/lane.go
@@ -74,8 +74,17 @@
 }
 
 // remove takes a demand out and reports whether it was there.
-func (l *lane) remove(id GrantID) bool {
-	return len(l.take(func(w waiter) bool { return w.demand.id == id })) > 0
+func (l *lane) remove(d Demand) bool {
+	s := l.accounts[d.account]
+
+	i := slices.IndexFunc(s, func(w waiter) bool { return w.demand.id == d.id })
+	if i < 0 {
+		return false
+	}
+
+	l.set(d.account, append(s[:i:i], s[i+1:]...))
+
+	return true
 }
 
 // take removes and returns the demands that pass the test.
@@ -115,14 +124,21 @@
 
 // before returns the number of demands with a deadline up to t, or of all when t is zero.
 func (l *lane) before(t time.Time) int {
+	if t.IsZero() {
+		return l.n
+	}
+
 	n := 0
 
 	for _, s := range l.accounts {
-		for _, w := range s {
-			if t.IsZero() || !w.demand.deadline.IsZero() && !w.demand.deadline.After(t) {
-				n++
+		i, _ := slices.BinarySearchFunc(s, t, func(w waiter, t time.Time) int {
+			if w.demand.deadline.IsZero() || w.demand.deadline.After(t) {
+				return 1
 			}
-		}
+
+			return -1
+		})
+		n += i
 	}
 
 	return n
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -64,12 +64,15 @@
 	mu     sync.Mutex
 	limit  Limit
 	grants map[GrantID]*grant
-	short  lane
-	long   lane
-	batch  lane
-	hold   float64 // mean time of an online grant, in nanoseconds
-	inUse  map[holding]int
-	ended  map[GrantID]time.Time // released lately; messages about them may still be on their way
+	// waiting finds the lane of a demand that is withdrawn.
+	waiting map[GrantID]Demand
+
+	short lane
+	long  lane
+	batch lane
+	hold  float64 // mean time of an online grant, in nanoseconds
+	inUse map[holding]int
+	ended map[GrantID]time.Time // released lately; messages about them may still be on their way
 }
 
 // holding counts the grants of an account in a class.
@@ -80,7 +83,7 @@
 
 // NewQueue returns a queue without grants.
 func NewQueue(s Settings) *Queue {
-	return &Queue{settings: s, limit: NewLimit(), grants: map[GrantID]*grant{}, inUse: map[holding]int{}, ended: map[GrantID]time.Time{}}
+	return &Queue{settings: s, limit: NewLimit(), grants: map[GrantID]*grant{}, inUse: map[holding]int{}, ended: map[GrantID]time.Time{}, waiting: map[GrantID]Demand{}}
 }
 
 // Request takes a demand. It is granted or rejected now, or waits for a later action.
@@ -101,9 +104,12 @@
 	}
 
 	q.lane(d).add(waiter{demand: d, since: now})
+	q.waiting[d.id] = d
 
 	a := q.schedule(now)
-	if d.maxWait < 0 && q.lane(d).remove(d.id) {
+	if d.maxWait < 0 && q.lane(d).remove(d) {
+		delete(q.waiting, d.id)
+
 		a = append(a, Action{kind: Reject, id: d.id, holder: d.holder, retryAfter: q.wait(d)})
 	}
 
@@ -119,7 +125,10 @@
 
 	g, ok := q.grants[id]
 	if !ok {
-		_ = q.short.remove(id) || q.long.remove(id) || q.batch.remove(id)
+		if d, waits := q.waiting[id]; waits {
+			delete(q.waiting, id)
+			q.lane(d).remove(d)
+		}
 
 		return q.schedule(now)
 	}
@@ -185,6 +194,8 @@
 
 	for _, l := range []*lane{&q.short, &q.long, &q.batch} {
 		for _, w := range l.take(func(w waiter) bool { return q.over(now, w) }) {
+			delete(q.waiting, w.demand.id)
+
 			a = append(a, Action{kind: Reject, id: w.demand.id, holder: w.demand.holder, retryAfter: q.wait(w.demand)})
 		}
 	}
@@ -269,6 +280,8 @@
 		}
 
 		w := l.next(q.preferred(now, l, atRisk))
+		delete(q.waiting, w.demand.id)
+
 		if !q.inTime(now, w.demand) {
 			a = append(a, Action{kind: Reject, id: w.demand.id, holder: w.demand.holder, retryAfter: q.wait(w.demand)})
 
