--- a/sched/limit.go
+++ b/sched/limit.go
@@ -12,16 +12,20 @@
 	// slowFactor is how much slower than its best a target's tokens may come before the limit falls. A full batch of a
 	// healthy engine is up to about twice as slow as a single stream.
 	slowFactor = 3
-	// queueFactor and queueSlack bound the time to the first token relative to the best. Above them the target has
-	// queued the request, so the limit is above what it runs at a time.
-	queueFactor = 3
-	queueSlack  = 15 * time.Millisecond
+	// queueFactor and queueSteps bound the smoothed time to the first token relative to its best and to the time between
+	// tokens. A request that starts beside others waits for a step and their prefill; above the bound the target has
+	// queued it, so the limit is above what the target runs at a time. Single times are no sign: with the bound on
+	// those, limits fell to 9 at an engine that runs 16 streams.
+	queueFactor = 2
+	queueSteps  = 3
 	// cutInterval is the shortest time between two cuts, so that the effect of one is seen before the next.
 	cutInterval = 200 * time.Millisecond
 	slowCut     = 0.7
 	queueCut    = 0.9
 	// ceilingFor is how long the limit stays below the value at which the target began to queue.
-	ceilingFor = 10 * time.Second
+	ceilingFor = 20 * time.Second
+	// regrow is the part of a slot that an observation adds below the last ceiling.
+	regrow = 0.2
 	// bestDrift lets the best times forget a target's faster past within minutes.
 	bestDrift = 1.0005
 )
@@ -60,7 +64,7 @@
 	switch {
 	case !o.ok || l.per > slowFactor*l.bestToken:
 		l.cut(now, slowCut)
-	case float64(o.first) > max(queueFactor*l.bestFirst, l.bestFirst+float64(queueSlack)) && float64(inUse) >= l.value/2:
+	case l.first > queueFactor*l.bestFirst+queueSteps*l.per && float64(inUse) >= l.value/2:
 		l.ceiling, l.ceilingUntil = l.value*queueCut, now.Add(ceilingFor)
 		l.startup = false
 		l.cut(now, queueCut)
@@ -78,11 +82,16 @@
 	l.value = max(minLimit, l.value*factor)
 }
 
-// grow adds one for each observation until the target first queues, and then one for each round of observations.
+// grow adds one for each observation until the target first queues. Later it goes back to the last ceiling fast, and
+// above it by one for each round of observations.
 func (l *Limit) grow(now time.Time) {
 	step := 1 / l.value
-	if l.startup {
+
+	switch {
+	case l.startup:
 		step = 1
+	case l.value < l.ceiling:
+		step = regrow
 	}
 
 	most := float64(maxLimit)
