Predict sizes that few exceed and stop asking busy targets

At twice the capacity work started as late as its deadline allows by its mean size, so half of it ended too late, and the demands that were rejected cost more messages than the rest. The deadline test now takes the mean plus 1.5 standard deviations, and a target that rejected for the deadline is not asked for up to 20 ms.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -46,6 +46,7 @@
 	target   filter.Target
 	inFlight int
 	latency  latency
+	busy     time.Time // until when online work is not asked for, as its deadline would not be met
 }
 
 // Pool has the targets of the services, one shard per service.
@@ -123,6 +124,9 @@
 	quickWait = 50 * time.Millisecond
 	// batchWait bounds the wait of batch work at one target, so that it follows free slots elsewhere.
 	batchWait = time.Second
+	// busyFor bounds the time without demands to a target that rejected one because of its deadline. At twice the
+	// capacity most requests are rejected, and each demand costs messages that the rest needs.
+	busyFor = 20 * time.Millisecond
 	// choices is the number of targets that are asked for one request.
 	choices = 2
 )
@@ -161,8 +165,12 @@
 	err := error(errNoTarget(r.ServiceName()))
 
 	for n := range choices {
-		m := p.choose(h, r, exclude, remote)
+		m, busy := p.choose(h, r, exclude, remote)
 		if m == nil {
+			if busy {
+				err = errBusy(r.ServiceName())
+			}
+
 			return nil, err
 		}
 
@@ -172,6 +180,7 @@
 		}
 
 		h.release(m)
+		p.markBusy(h, m, r, n, e)
 
 		err = e
 		if ctx.Err() != nil || !outcome.Is(e, outcome.Overloaded) {
@@ -186,11 +195,30 @@
 	return nil, err
 }
 
+// markBusy remembers a target that rejected online work because of its deadline.
+func (p *Pool) markBusy(h *poolShard, m *member, r *filter.Request, n int, err error) {
+	if r.Class() != filter.Online || n < choices-1 || !outcome.Is(err, outcome.Overloaded) {
+		return
+	}
+
+	t := p.clock().Add(min(busyFor, outcome.From(err).RetryAfter()))
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	m.busy = t
+}
+
 func errNoTarget(service string) *outcome.Error {
 	return outcome.New(outcome.NoTarget, outcome.NotRun, "service %q has no target that can take the request", service).
 		WithRetryAfter(time.Second)
 }
 
+func errBusy(service string) *outcome.Error {
+	return outcome.New(outcome.Overloaded, outcome.NotRun, "no target of service %q can meet the deadline", service).
+		WithRetryAfter(time.Second)
+}
+
 func (p *Pool) grant(ctx context.Context, m *member, d sched.Demand) (Permit, error) {
 	if p.granter == nil {
 		return noPermit{}, nil
@@ -219,8 +247,8 @@
 	return sched.NewDemand(id, p.holder, r.Account().Name(), c, r.Deadline()).WithSize(t, long).WithMaxWait(w)
 }
 
-// choose picks a target and counts the request there; nil if there is none.
-func (p *Pool) choose(h *poolShard, r *filter.Request, exclude []string, remote bool) *member {
+// choose picks a target and counts the request there. Without one, it reports whether that is for want of free slots.
+func (p *Pool) choose(h *poolShard, r *filter.Request, exclude []string, remote bool) (m *member, busy bool) {
 	now := p.clock()
 
 	h.mu.Lock()
@@ -233,9 +261,14 @@
 
 	u := usualOf(members)
 	l := h.eligible(now, members, exclude, p.shares.SlowShare())
+	n := len(l)
+
+	if r.Class() == filter.Online {
+		l = slices.DeleteFunc(l, func(m *member) bool { return now.Before(m.busy) })
+	}
 
 	if len(l) == 0 {
-		return nil
+		return nil, n > 0
 	}
 
 	c := make([]Candidate, len(l))
@@ -246,10 +279,10 @@
 		}
 	}
 
-	m := l[p.pick(c, r)]
+	m = l[p.pick(c, r)]
 	m.inFlight++
 
-	return m
+	return m, false
 }
 
 // eligible returns the targets that may get a request, or the one that gets a probe.
--- a/sched/size.go
+++ b/sched/size.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"math/bits"
 	"sync"
 
@@ -13,6 +14,9 @@
 	longFactor = 4
 	// sizeSmoothing is the weight of a new size; about the last fifty count.
 	sizeSmoothing = 0.04
+	// highDeviations is how far above the mean a size is predicted. Under overload work starts as late as its deadline
+	// allows; with the mean, half of it would end too late and its tokens would be lost.
+	highDeviations = 1.5
 )
 
 // Sizes predicts the sizes of work from those seen of the same service. The zero value has seen none.
@@ -22,16 +26,24 @@
 
 type sizeShard struct {
 	mu    sync.Mutex
-	means map[sizeKey]float64
+	sizes map[sizeKey]size
 }
 
+// size is the mean and the variance of sizes, both smoothed.
+type size struct {
+	mean, variance float64
+}
+
+// high returns a size that few exceed.
+func (s size) high() float64 { return s.mean + highDeviations*math.Sqrt(s.variance) }
+
 // sizeKey groups work that is alike: the service, and the magnitudes of the prompt and of the caller's bound.
 type sizeKey struct {
 	service        string
 	prompt, bounds int
 }
 
-// Predict returns the predicted number of tokens and whether it counts as long. maxTokens is the caller's bound, 0 if
+// Predict returns a number of tokens that few exceed, 0 if none is known, and whether the work counts as long. maxTokens is the caller's bound, 0 if
 // there is none; promptBytes is the size of the prompt.
 func (s *Sizes) Predict(service string, promptBytes, maxTokens int) (tokens int, long bool) {
 	h := s.shard(service)
@@ -39,21 +51,22 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	all := h.means[sizeKey{service: service}]
+	all := h.sizes[sizeKey{service: service}]
 
-	n, ok := h.means[key(service, promptBytes, maxTokens)]
+	v, ok := h.sizes[key(service, promptBytes, maxTokens)]
 	if !ok {
-		n = all
+		v = all
 		if maxTokens > 0 {
-			n = float64(maxTokens)
+			v = size{mean: float64(maxTokens)}
 		}
 	}
 
+	n := v.high()
 	if maxTokens > 0 {
 		n = min(n, float64(maxTokens))
 	}
 
-	return int(n), all > 0 && n > longFactor*all
+	return int(n), all.mean > 0 && v.mean > longFactor*all.mean
 }
 
 // Observe takes the size of work that ended.
@@ -67,8 +80,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	if h.means == nil {
-		h.means = map[sizeKey]float64{}
+	if h.sizes == nil {
+		h.sizes = map[sizeKey]size{}
 	}
 
 	all := sizeKey{service: service}
@@ -76,7 +89,7 @@
 	// The mean of all sizes takes no more than longFactor times itself from one piece of work, so that long work does
 	// not come to count as usual.
 	v := float64(tokens)
-	if m := h.means[all]; m > 0 {
+	if m := h.sizes[all].mean; m > 0 {
 		v = min(v, longFactor*m)
 	}
 
@@ -85,12 +98,15 @@
 }
 
 func (h *sizeShard) add(k sizeKey, v float64) {
-	m, ok := h.means[k]
+	s, ok := h.sizes[k]
 	if !ok {
-		m = v
+		s.mean = v
 	}
 
-	h.means[k] = m + sizeSmoothing*(v-m)
+	d := v - s.mean
+	s.mean += sizeSmoothing * d
+	s.variance += sizeSmoothing * (d*d - s.variance)
+	h.sizes[k] = s
 }
 
 func (s *Sizes) shard(service string) *sizeShard { return &s.shards[shard.Index(service, sizeShards)] }
