--- a/controller/follow.go
+++ b/controller/follow.go
@@ -16,19 +16,28 @@
 	Peers() []Peer
 }
 
-// Opener starts to follow partitions.
+// Opener follows partitions.
 type Opener interface {
 	Open(p int)
+	// Close stops to follow a partition that nobody uses, and reports whether it did.
+	Close(p int) bool
+	Followed() []int
 }
 
 // followInterval is the time between two comparisons of the peers with the partitions followed.
 const followInterval = 200 * time.Millisecond
 
+// closeDelay is how long a partition that fell to other daemons stays open here. They may not have replayed it yet, and
+// a daemon that was missing for a moment takes its partitions back.
+const closeDelay = time.Minute
+
 // Follow opens the partitions that this daemon follows and tells which daemons follow a partition.
 type Follow struct {
 	peers PeerList
 	store Opener
 	self  string
+	clock func() time.Time
+	extra map[int]time.Time // since when partitions are open that others follow; used by Refresh only
 
 	mu    sync.Mutex
 	table [][]Peer
@@ -36,8 +45,8 @@
 }
 
 // NewFollow returns the controller of the daemon of VM self.
-func NewFollow(l PeerList, o Opener, self string, partitions int) *Follow {
-	return &Follow{peers: l, store: o, self: self, table: make([][]Peer, partitions)}
+func NewFollow(l PeerList, o Opener, self string, partitions int, clock func() time.Time) *Follow {
+	return &Follow{peers: l, store: o, self: self, clock: clock, extra: map[int]time.Time{}, table: make([][]Peer, partitions)}
 }
 
 // Run follows the membership until ctx ends.
@@ -50,7 +59,8 @@
 	return nil
 }
 
-// Refresh computes the followers from the current peers and opens the partitions that fall to this daemon.
+// Refresh computes the followers from the current peers, opens the partitions that fall to this daemon and closes
+// those that have been others' for a while. One caller at a time uses it.
 func (f *Follow) Refresh() {
 	l := slices.Clone(f.peers.Peers())
 	slices.SortFunc(l, func(a, b Peer) int { return strings.Compare(a.VM(), b.VM()) })
@@ -58,6 +68,29 @@
 	for _, p := range f.update(l) {
 		f.store.Open(p)
 	}
+
+	f.closeExtra()
+}
+
+func (f *Follow) closeExtra() {
+	now := f.clock()
+
+	for _, p := range f.store.Followed() {
+		if f.Follows(p) || len(f.Followers(p)) == 0 {
+			delete(f.extra, p)
+
+			continue
+		}
+
+		t, ok := f.extra[p]
+		if !ok {
+			f.extra[p] = now
+		}
+
+		if ok && now.Sub(t) > closeDelay && f.store.Close(p) {
+			delete(f.extra, p)
+		}
+	}
 }
 
 // update stores the followers and returns the partitions that this daemon follows.
--- a/controller/grant.go
+++ b/controller/grant.go
@@ -167,7 +167,7 @@
 		return nil
 	}
 
-	err := s.store.Submit(ctx, a.Partition, r...)
+	err := s.store.SubmitOrWithdraw(ctx, settle, a.Partition, r...)
 	g := &s.shards[a.Partition]
 
 	g.mu.Lock()
@@ -275,7 +275,7 @@
 	}
 
 	if len(l) > 0 {
-		if err := s.store.Submit(ctx, p, l...); err != nil {
+		if err := s.store.SubmitOrWithdraw(ctx, settle, p, l...); err != nil {
 			r.Failure = failureOf(err)
 
 			return
--- a/controller/journal.go
+++ b/controller/journal.go
@@ -44,10 +44,10 @@
 		r, err := j.lookup(ctx, LookupArgs{Account: k.Account(), Key: k.Key(), Await: true})
 
 		switch {
-		case err == nil && !r.Found:
-			return journal.Work{}, outcome.New(outcome.NotFound, outcome.NotRun, "no work is recorded under this key")
 		case err == nil && r.Ended:
 			return r.work(), nil
+		case outcome.Is(err, outcome.NotFound):
+			return journal.Work{}, err
 		case err != nil:
 			sleep(ctx, retryDelay)
 		}
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -46,7 +46,7 @@
 		return
 	}
 
-	if err := s.store.Submit(ctx, a.Partition, a.Records...); err != nil {
+	if err := s.store.SubmitOrWithdraw(ctx, settle, a.Partition, a.Records...); err != nil {
 		r.Failure = failureOf(err)
 
 		return
@@ -61,29 +61,26 @@
 	k := journal.NewKey(a.Account, a.Key)
 	p := s.store.Partition(k.String())
 
-	if !a.Await {
-		if err := s.store.Sync(ctx, p); err != nil {
+	if a.Await {
+		w, err := s.store.Await(ctx, k)
+		if err != nil && !outcome.Is(err, outcome.InProgress) {
 			r.Failure = failureOf(err)
 
 			return
 		}
-	}
 
-	for {
-		ch := s.store.Changed(p)
-		w, ok := s.store.Replay(p).Lookup(k)
-		*r = replyOf(w, ok)
+		*r = replyOf(w, true)
 
-		if !a.Await || !ok || w.Ended() {
-			return
-		}
+		return
+	}
 
-		select {
-		case <-ch:
-		case <-ctx.Done():
-			return
-		}
+	if err := s.store.Sync(ctx, p); err != nil {
+		r.Failure = failureOf(err)
+
+		return
 	}
+
+	*r = replyOf(s.store.Replay(p).Lookup(k))
 }
 
 // checkPartition refuses a partition that does not exist, which a daemon with another configuration may ask for.
--- a/controller/store.go
+++ b/controller/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/agategap/agategap/journal"
 )
@@ -12,16 +13,21 @@
 	Partition(key string) int
 	// Replay returns the state of a partition, starting to follow it if needed.
 	Replay(p int) *journal.Partition
-	// Changed returns a channel that is closed at the next replayed entry.
-	Changed(p int) <-chan struct{}
 }
 
-// Appender appends records to partitions.
+// settle is the time for finding out what became of records whose submission timed out. It is below callSlack, so that
+// the answer reaches the daemon that asked.
+const settle = 500 * time.Millisecond
+
+// Appender appends records to partitions and waits for what others append.
 type Appender interface {
-	// Submit returns once the records are replayed here. Its error has effect not_run if they were never sent.
-	Submit(ctx context.Context, p int, r ...journal.Record) error
+	// SubmitOrWithdraw returns once the records are replayed here. When ctx ends first it gives them up and waits
+	// for settle at most until it is certain whether they took effect; not_run says that they never will.
+	SubmitOrWithdraw(ctx context.Context, settle time.Duration, p int, r ...journal.Record) error
 	// Sync waits until everything that the log held when it was called is replayed here.
 	Sync(ctx context.Context, p int) error
+	// Await waits until the work under a key has ended.
+	Await(ctx context.Context, k journal.Key) (journal.Work, error)
 }
 
 // Store follows partitions and appends to them.
--- a/controller/system_test.go
+++ b/controller/system_test.go
@@ -150,7 +150,7 @@
 	s.nodes[vm] = n
 	s.mu.Unlock()
 
-	f := controller.NewFollow(s, n.store, vm, partitions)
+	f := controller.NewFollow(s, n.store, vm, partitions, s.clock)
 	f.Refresh()
 
 	c := counter{}
--- a/daemon/work.go
+++ b/daemon/work.go
@@ -23,7 +23,7 @@
 // buildWork builds the controllers of accepted work and jobs, registers their services and adds them as actors. It
 // precedes the actors that they need when they stop, as actors are stopped in the order in which they are added.
 func (d *Daemon) buildWork(l controller.PeerList, r filter.Router, c *target.Client) work {
-	f := controller.NewFollow(l, d.store, d.settings.VM, partitions)
+	f := controller.NewFollow(l, d.store, d.settings.VM, partitions, time.Now)
 	routes := controller.NewRoutes(f, caller{client: d.client}, d.metrics)
 	journals := controller.NewJournalService(d.store, partitions, d.metrics)
 	grants := controller.NewJobService(d.store, d.config, f, time.Now, d.metrics)
--- a/journal/work.go
+++ b/journal/work.go
@@ -32,12 +32,10 @@
 		return Leave
 	}
 
-	if w.claim.ID == "" {
-		if w.accept.Async {
-			return Run
-		}
+	again := w.accept.Idempotent && (w.accept.Async || len(w.accept.Body) > 0)
 
-		return Leave
+	if w.claim.ID == "" {
+		return w.unclaimed(again)
 	}
 
 	end := time.UnixMilli(w.accept.DeadlineMS)
@@ -49,9 +47,22 @@
 		return Leave
 	}
 
-	if w.accept.Idempotent && (w.accept.Async || len(w.accept.Body) > 0) {
+	if again {
 		return Rerun
 	}
 
 	return Resolve
 }
+
+// unclaimed returns what to do with accepted work without a claim. Work whose claim was replaced before the last one
+// was given back stays accepted, as an earlier holder may have sent it.
+func (w Work) unclaimed(again bool) Step {
+	switch {
+	case w.accept.Async && !w.replaced, again && w.replaced:
+		return Run
+	case w.replaced:
+		return Resolve
+	default:
+		return Leave
+	}
+}
