--- a/controller/system_test.go
+++ b/controller/system_test.go
@@ -98,7 +98,7 @@
 // system has daemons that share a log and targets.
 type system struct {
 	log      *memoryLog
-	settings *settings
+	settings *fixedSettings
 	targets  *targets
 	skew     atomic.Int64
 
@@ -309,12 +309,12 @@
 	t.do = do
 }
 
-// settings are a configuration with the services "text", which may be repeated, and "bill", which may not.
-type settings struct {
+// fixedSettings are a configuration with the services "text", which may be repeated, and "bill", which may not.
+type fixedSettings struct {
 	ledger config.Ledger
 }
 
-func newSettings() *settings {
+func newSettings() *fixedSettings {
 	t, err := config.Format(config.Document{
 		Batch: config.BatchSettings{
 			ShardItems: 5, MaxAttempts: 3, Lease: tomlfile.NewDuration(2 * time.Second),
@@ -326,7 +326,7 @@
 		panic(err)
 	}
 
-	s := &settings{}
+	s := &fixedSettings{}
 	if _, err := s.ledger.Apply(1, config.Version{Text: t}); err != nil {
 		panic(err)
 	}
@@ -334,9 +334,9 @@
 	return s
 }
 
-func (s *settings) InForce() config.InForce { return s.ledger.InForce() }
+func (s *fixedSettings) InForce() config.InForce { return s.ledger.InForce() }
 
-func (s *settings) Service(name string) (filter.Service, bool) {
+func (s *fixedSettings) Service(name string) (filter.Service, bool) {
 	for _, v := range s.InForce().Document().Services {
 		if v.Name == name {
 			return filter.NewService(filter.ServiceSettings{
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,7 +8,7 @@
 	"errors"
 	"io"
 	"log"
-	mrand "math/rand/v2"
+	"maps"
 	"net"
 	"net/http"
 	"time"
@@ -18,7 +18,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/agategap/agategap/appender"
-	"github.com/agategap/agategap/balance"
 	"github.com/agategap/agategap/controller"
 	"github.com/agategap/agategap/filter"
 	"github.com/agategap/agategap/front"
@@ -44,6 +43,7 @@
 	server    *peer.Server
 	client    *peer.Client
 	listeners []net.Listener
+	dumps     map[string]operator.Dumper // of parts that only some settings build
 }
 
 const (
@@ -62,7 +62,7 @@
 
 // New returns a daemon with open listeners, so that a bad address is reported before anything runs.
 func New(s settings.Daemon, z zerolog.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, logger: z.With().Str("vm", s.VM).Str("failure_domain", s.FailureDomain).Logger()}
+	d := &Daemon{dumps: map[string]operator.Dumper{}, settings: s, logger: z.With().Str("vm", s.VM).Str("failure_domain", s.FailureDomain).Logger()}
 	d.holder = s.VM + "/" + incarnation()
 
 	for _, a := range []string{s.CallerAddress, s.OperatorAddress, s.PeerAddress} {
@@ -103,7 +103,7 @@
 	d.store = store.New(p, wire.Groups{}, o)
 	d.config = controller.NewConfig(p, wire.Versions{}, d.logger)
 
-	pool := balance.New(balance.LeastLoaded{}, mrand.New(mrand.NewPCG(uint64(time.Now().UnixNano()), 0))) //nolint:gosec // load balancing
+	pool := d.buildPool()
 	d.targets = controller.NewTargets(w, pool, d.settings.FailureDomain)
 
 	d.config.SetRepublisher(republisher{client: p, targets: d.targets, vm: d.settings.VM}, d.settings.LogRetention.Value(), time.Now)
@@ -192,7 +192,7 @@
 }
 
 func (d *Daemon) dumpers() map[string]operator.Dumper {
-	return map[string]operator.Dumper{
+	m := map[string]operator.Dumper{
 		"daemon": operator.DumpFunc(func() any {
 			return map[string]any{"vm": d.settings.VM, "holder": d.holder, "failure_domain": d.settings.FailureDomain}
 		}),
@@ -208,4 +208,8 @@
 			}
 		}),
 	}
+
+	maps.Copy(m, d.dumps)
+
+	return m
 }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -180,6 +180,7 @@
 	v, err := daemon.New(settings.Daemon{
 		VM: fmt.Sprintf("%s-entry-%d", domain, i), FailureDomain: domain, Region: region,
 		CallerAddress: any, OperatorAddress: any, PeerAddress: any, Platform: d.address, Policy: d.options.Policy,
+		LogRetention: tomlfile.NewDuration(24 * time.Hour), //nolint:mnd // longer than any run
 	}, z)
 	if err != nil {
 		return err
--- a/job/grantor_test.go
+++ b/job/grantor_test.go
@@ -10,8 +10,8 @@
 	"github.com/agategap/agategap/job"
 )
 
-// running returns a job with shards of one item each.
-func running(id string, items, priority int, deadline time.Time) *job.Job {
+// jobOfOneItemShards returns a job with shards of one item each.
+func jobOfOneItemShards(id string, items, priority int, deadline time.Time) *job.Job {
 	j := job.New(job.Open{
 		Job: id, Account: "a", Items: items, ShardItems: 1, MaxAttempts: 3, Idempotent: true,
 		Priority: priority, DeadlineMS: deadline.UnixMilli(),
@@ -27,7 +27,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		start := time.Unix(1000, 0)
 		now, renewed := start, start
-		j := running("j", 1, 0, start)
+		j := jobOfOneItemShards("j", 1, 0, start)
 		j.Grant(job.Lease{Job: "j", Holder: "one", DurationMS: lease.Milliseconds()}, 7)
 
 		var g job.Grantor
@@ -62,7 +62,7 @@
 func TestShardsAreGrantedInOrderAndInShares(t *testing.T) {
 	Convey("Given jobs of different priority and deadline", t, func() {
 		now := time.Unix(1000, 0)
-		late, soon, high := running("late", 1, 0, now.Add(time.Hour)), running("soon", 1, 0, now.Add(time.Minute)), running("high", 1, 1, now.Add(time.Hour))
+		late, soon, high := jobOfOneItemShards("late", 1, 0, now.Add(time.Hour)), jobOfOneItemShards("soon", 1, 0, now.Add(time.Minute)), jobOfOneItemShards("high", 1, 1, now.Add(time.Hour))
 
 		var g job.Grantor
 
@@ -96,7 +96,7 @@
 
 	Convey("Given a job of 12 shards and two failure domains that ask for the same capacity", t, func() {
 		now := time.Unix(1000, 0)
-		j := running("j", 12, 0, now)
+		j := jobOfOneItemShards("j", 12, 0, now)
 		a, b := job.NewDemand("a", "vm1/1", 20, nil, nil), job.NewDemand("b", "vm2/1", 20, nil, nil)
 
 		var g job.Grantor
