--- /dev/null
+++ b/controller/follow_test.go
@@ -0,0 +1,122 @@
+package controller_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/agategap/agategap/controller"
+)
+
+// peerSet is a list of peers.
+type peerSet []controller.Peer
+
+func (p peerSet) Peers() []controller.Peer { return p }
+
+// opened is the set of open partitions.
+type opened map[int]bool
+
+func (o opened) Open(p int) { o[p] = true }
+
+func (o opened) Close(p int) bool {
+	delete(o, p)
+
+	return true
+}
+
+func (o opened) Followed() []int {
+	var l []int
+	for p := range o {
+		l = append(l, p)
+	}
+
+	return l
+}
+
+func ExampleFollow() {
+	peers := peerSet{
+		controller.NewPeer("vm-1", "10.0.0.1:7000", "kv-cheras", "klang-valley"),
+		controller.NewPeer("vm-2", "10.0.1.1:7000", "kv-petaling", "klang-valley"),
+	}
+	f := controller.NewFollow(peers, opened{}, "vm-1", 2, time.Now)
+	f.Refresh()
+
+	for p := range f.Partitions() {
+		fmt.Println(p, len(f.Followers(p)), f.Follows(p))
+	}
+	// Output:
+	// 0 2 true
+	// 1 2 true
+}
+
+// Guards against followers that are lost with one failure domain, and against a daemon's loss that moves partitions
+// which it did not follow.
+func TestFollowersAreInTwoFailureDomains(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l peerSet
+
+		domains := rapid.IntRange(1, 4).Draw(t, "domains")
+		for i := range rapid.IntRange(1, 12).Draw(t, "daemons") {
+			l = append(l, controller.NewPeer(fmt.Sprintf("vm-%d", i), "a", fmt.Sprint(i%domains), "r"))
+		}
+
+		follow := func(l peerSet) *controller.Follow {
+			f := controller.NewFollow(l, opened{}, "vm-0", 8, time.Now)
+			f.Refresh()
+
+			return f
+		}
+		before := follow(l)
+		gone := rapid.IntRange(0, len(l)-1).Draw(t, "gone")
+		after := follow(append(append(peerSet(nil), l[:gone]...), l[gone+1:]...))
+
+		for p := range 8 {
+			b := before.Followers(p)
+			if len(b) != min(2, len(l)) {
+				t.Fatalf("partition %d has %d followers", p, len(b))
+			}
+
+			if len(b) == 2 && b[0].Domain() == b[1].Domain() && min(domains, len(l)) > 1 {
+				t.Fatalf("both followers of partition %d are in domain %s", p, b[0].Domain())
+			}
+
+			if b[0] != l[gone] && after.Followers(p)[0] != b[0] {
+				t.Fatalf("the writer of partition %d changed from %v to %v", p, b[0], after.Followers(p)[0])
+			}
+		}
+	})
+}
+
+// Guards against a daemon that keeps every partition it ever followed, and against one that closes a partition which it
+// takes back.
+func TestPartitionsOfOthersAreClosed(t *testing.T) {
+	Convey("Given a daemon that opened a partition of others", t, func() {
+		o, now := opened{}, time.Unix(1000, 0)
+		l := peerSet{
+			controller.NewPeer("vm-1", "a", "one", "r"), controller.NewPeer("vm-2", "b", "two", "r"),
+			controller.NewPeer("vm-3", "c", "three", "r"),
+		}
+		f := controller.NewFollow(l, o, "vm-1", 16, func() time.Time { return now })
+		f.Refresh()
+
+		own := len(o)
+		So(own, ShouldBeBetween, 0, 16)
+
+		for p := range 16 {
+			o.Open(p)
+		}
+
+		f.Refresh()
+
+		now = now.Add(59 * time.Second)
+		f.Refresh()
+		So(o, ShouldHaveLength, 16)
+
+		now = now.Add(2 * time.Second)
+		f.Refresh()
+		So(o, ShouldHaveLength, own)
+	})
+}
--- a/controller/outbox.go
+++ b/controller/outbox.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/agategap/agategap/journal"
 	"github.com/agategap/agategap/outcome"
@@ -39,12 +40,29 @@
 	}
 }
 
-// Run sends queued records until ctx ends.
+// lastFlush bounds the sending of queued records when the daemon stops.
+const lastFlush = 2 * time.Second
+
+// Run sends queued records until ctx ends, and then what is left within a bound.
 func (j *Journal) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 
 	for _, o := range j.outbox {
-		wg.Go(func() { j.flush(ctx, o) })
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				j.flush(ctx, o)
+
+				select {
+				case <-o.wake:
+				case <-ctx.Done():
+				}
+			}
+
+			x, stop := context.WithTimeout(context.WithoutCancel(ctx), lastFlush)
+			defer stop()
+
+			j.flush(x, o)
+		})
 	}
 
 	wg.Wait()
@@ -62,16 +80,12 @@
 	return n
 }
 
+// flush sends queued records until there are none or ctx ends.
 func (j *Journal) flush(ctx context.Context, o *outbox) {
 	for ctx.Err() == nil {
 		r := o.head()
 		if len(r) == 0 {
-			select {
-			case <-o.wake:
-			case <-ctx.Done():
-			}
-
-			continue
+			return
 		}
 
 		x, stop := context.WithTimeout(ctx, longestWait)
--- a/controller/system_test.go
+++ b/controller/system_test.go
@@ -145,14 +145,7 @@
 	holder := vm + "/" + fmt.Sprint(time.Now().UnixNano())
 	n.store = store.New(n.log, wire.Groups{}, store.NewOptions(holder, partitions, appender.NewLimits(0, 0, time.Millisecond), time.Now))
 
-	s.mu.Lock()
-	s.peers = append(s.peers, controller.NewPeer(vm, vm, domain, "region"))
-	s.nodes[vm] = n
-	s.mu.Unlock()
-
 	f := controller.NewFollow(s, n.store, vm, partitions, s.clock)
-	f.Refresh()
-
 	c := counter{}
 	routes := controller.NewRoutes(f, n, c)
 	local := controller.NewJournalService(n.store, partitions, c)
@@ -164,6 +157,13 @@
 	ids := func() string { return fmt.Sprintf("%s-%d", vm, time.Now().UnixNano()) }
 	a := controller.NewAccepted(controller.NewAcceptedParts(n.journal, s.settings, s.targets, s.targets, holder, ids, s.clock, c, zerolog.Nop()))
 
+	s.mu.Lock()
+	s.peers = append(s.peers, controller.NewPeer(vm, vm, domain, "region"))
+	s.nodes[vm] = n
+	s.mu.Unlock()
+
+	f.Refresh()
+
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	actors := []func(context.Context) error{f.Run, n.journal.Run}
--- a/daemon/work.go
+++ b/daemon/work.go
@@ -43,9 +43,11 @@
 
 	d.stopFirst(runner.Run)
 	d.actor(accepted.Run)
-	d.actor(j.Run)
+	d.stopFirst(j.Run)
 	d.actor(f.Run)
 
+	d.follow = f
+
 	return work{parts: p, journal: j, jobs: jobs, runner: runner}
 }
 
--- /dev/null
+++ b/filter/lookup_test.go
@@ -0,0 +1,90 @@
+package filter_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agategap/agategap/filter"
+	"github.com/agategap/agategap/journal"
+	"github.com/agategap/agategap/outcome"
+)
+
+// partitionRecorder records work in a partition without a log.
+type partitionRecorder struct {
+	partition journal.Partition
+	number    uint64
+}
+
+func (p *partitionRecorder) Find(_ context.Context, k journal.Key) (journal.Work, bool, error) {
+	w, ok := p.partition.Lookup(k)
+
+	return w, ok, nil
+}
+
+func (p *partitionRecorder) Await(ctx context.Context, k journal.Key) (journal.Work, error) {
+	w, _, err := p.Find(ctx, k)
+
+	return w, err
+}
+
+func (p *partitionRecorder) Submit(_ context.Context, k journal.Key, r ...journal.Record) (journal.Work, error) {
+	p.Enqueue(k, r...)
+	w, _ := p.partition.Lookup(k)
+
+	return w, nil
+}
+
+func (p *partitionRecorder) Enqueue(_ journal.Key, r ...journal.Record) {
+	p.number++
+	p.partition.Apply(journal.NewEntry(int64(p.number), time.Now(), journal.Group{Writer: "w", Number: p.number, Records: r}))
+}
+
+// lookup knows requests after a number of questions.
+type lookup struct {
+	after int
+	known bool
+}
+
+func (l *lookup) Find(context.Context, string, string) (filter.Answer, bool, error) {
+	l.after--
+
+	return filter.NewAnswer(200, "text/plain", []byte("ran")), l.known && l.after < 0, nil
+}
+
+// Guards against a call that ran and is reported as unknown although its target knows it, and against one that is
+// reported as done or as not run although no target knows it.
+func TestLostAnswerIsLookedUp(t *testing.T) {
+	Convey("Given a call that may not run twice, whose answer is lost", t, func() {
+		s := filter.NewService(filter.ServiceSettings{Name: "bill", Plain: true, Lookup: true, RetainResults: time.Hour})
+		r := filter.NewBatchRequest(filter.Input{ID: "r1", Kind: filter.Plain, Service: "bill", Key: "k"}, filter.NewAccount("a", 0), s, time.Now().Add(time.Minute))
+		lost := filter.HandlerFunc(func(context.Context, *filter.Request, filter.Sink) error {
+			return outcome.New(outcome.LostAnswer, outcome.Unknown, "lost")
+		})
+
+		var p partitionRecorder
+
+		var c filter.Collector
+
+		run := func(l *lookup) error {
+			return filter.NewRecord(&p, "vm", time.Second).WithLookup(l).Apply(context.Background(), r, &c, lost)
+		}
+
+		Convey("a target that knows it after a moment gives the answer, which is recorded", func() {
+			So(run(&lookup{after: 1, known: true}), ShouldBeNil)
+			So(string(c.Complete().Body), ShouldEqual, "ran")
+
+			w, _, _ := p.Find(context.Background(), r.WorkKey())
+			So(w.Result().Effect, ShouldEqual, journal.Done)
+		})
+		Convey("without such a target the outcome is unknown, for good", func() {
+			err := run(&lookup{})
+			So(outcome.From(err).Effect(), ShouldEqual, outcome.Unknown)
+
+			w, _, _ := p.Find(context.Background(), r.WorkKey())
+			So(w.Result().Effect, ShouldEqual, journal.Unknown)
+		})
+	})
+}
--- a/journal/work.go
+++ b/journal/work.go
@@ -55,10 +55,10 @@
 }
 
 // unclaimed returns what to do with accepted work without a claim. Work whose claim was replaced before the last one
-// was given back stays accepted, as an earlier holder may have sent it.
+// was given back stays accepted, and any daemon may run it, as only work that may run again has its claim replaced.
 func (w Work) unclaimed(again bool) Step {
 	switch {
-	case w.accept.Async && !w.replaced, again && w.replaced:
+	case again && w.replaced, w.accept.Async:
 		return Run
 	case w.replaced:
 		return Resolve
