--- a/controller/items.go
+++ b/controller/items.go
@@ -127,7 +127,7 @@
 	x, stop := context.WithTimeout(context.WithoutCancel(v.ctx), lookupWait)
 	defer stop()
 
-	a, found, err := r.lookup.Find(x, s.Name(), requestID(v.task))
+	a, found, err := r.lookup.Find(x, s.Targets(), requestID(v.task))
 	if err != nil || !found {
 		r.finish(v, job.Uncertain, job.Result{Reason: reason})
 
--- a/integration/log_test.go
+++ b/integration/log_test.go
@@ -129,7 +129,7 @@
 			So(s.chat(n.caller, 10).whole(10), ShouldBeTrue)
 		}
 
-		code, out := s.publish(1, configurationText()+"# published during the cut\n")
+		code, out := s.publish(1, changedText("2s"))
 		So(out, ShouldContainSubstring, "in force")
 		So(code, ShouldEqual, 0)
 
