Give job shards back that find no target, and items that were not sent

A shard whose items found no target stayed with its failure domain while others had room, and items that were started and not sent when a daemon stopped ended as unknown. A holder now gives back a shard whose items found no target for ten seconds, and names the started items that it did not send. The record that carries them ends the lease, so that a second copy of it has no effect.

--- a/controller/grant.go
+++ b/controller/grant.go
@@ -187,7 +187,7 @@
 	for _, o := range l {
 		s.store.Replay(a.Partition).Job(o.Ref().Job, func(b *job.Job) {
 			v, ok := b.Lease(o.Ref().Shard)
-			if ok && v.Holder() == a.Holder && b.State() == job.Running {
+			if ok && v.Holder() == a.Holder && b.Holds(o.Ref().Shard, v.Offset()) {
 				r = append(r, b.Leased(o.Ref().Shard))
 			}
 		})
@@ -254,14 +254,14 @@
 
 	var l []journal.Record
 
-	if len(v.Results) > 0 || len(v.Tries) > 0 || !s.follow.Writes(a.Partition) {
-		l = append(l, journal.Record{Progress: &job.Progress{Job: v.Job, Shard: v.Shard, Lease: v.Lease, Results: v.Results, Tries: v.Tries}})
+	if len(v.Results) > 0 || len(v.Tries) > 0 || v.Release || !s.follow.Writes(a.Partition) {
+		l = append(l, journal.Record{Progress: &job.Progress{Job: v.Job, Shard: v.Shard, Lease: v.Lease, Results: v.Results, Tries: v.Tries, Release: v.Release, Unsent: v.Unsent}})
 	}
 
 	s.record(ctx, a.Partition, v.Ref(), v.Lease, r, l...)
 
 	if r.Failure.err() == nil && r.Renewal.Holds {
-		s.renew(a.Partition, v.Ref(), v.Release)
+		s.renew(a.Partition, v.Ref())
 	}
 }
 
@@ -314,7 +314,7 @@
 	return nil
 }
 
-func (s *JobService) renew(p int, f job.Ref, released bool) {
+func (s *JobService) renew(p int, f job.Ref) {
 	var v job.Grant
 
 	s.store.Replay(p).Job(f.Job, func(b *job.Job) { v, _ = b.Lease(f.Shard) })
@@ -324,5 +324,5 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
-	g.grantor.Renew(s.clock(), f, v, released)
+	g.grantor.Renew(s.clock(), f, v)
 }
--- a/controller/items.go
+++ b/controller/items.go
@@ -82,6 +82,8 @@
 	x, stop := context.WithTimeout(v.ctx, itemBound(s, d.Sub(r.clock())))
 	defer stop()
 
+	x = withSlotWait(x, stop)
+
 	var c filter.Collector
 
 	err := r.chain.Handle(x, filter.NewBatchRequest(itemInput(v.task, s, r.clock()), filter.NewAccount(v.task.Account(), 0), s, d), &c)
@@ -103,6 +105,30 @@
 	r.finish(v, verdictOf(e, v.task.Idempotent()), job.Result{Reason: e.Message()})
 }
 
+// slotWait is how long an item waits for a target before it goes back behind the others.
+const slotWait = 5 * time.Second
+
+type slotWaitKey struct{}
+
+// withSlotWait ends x with stop unless the request reaches Dispatched before slotWait is over.
+func withSlotWait(x context.Context, stop context.CancelFunc) context.Context {
+	t := time.AfterFunc(slotWait, stop)
+
+	return context.WithValue(x, slotWaitKey{}, sync.OnceValue(t.Stop))
+}
+
+// Dispatched wraps the last handler of the chain of batch items, and ends their wait for a target. An item whose wait was
+// over before is not sent.
+func Dispatched(next filter.Handler) filter.Handler {
+	return filter.HandlerFunc(func(ctx context.Context, r *filter.Request, s filter.Sink) error {
+		if begin, ok := ctx.Value(slotWaitKey{}).(func() bool); ok && !begin() {
+			return outcome.New(outcome.Overloaded, outcome.NotRun, "no target had room in time")
+		}
+
+		return next.Handle(ctx, r, s)
+	})
+}
+
 // itemBound returns the time for one attempt. Streams have an idle bound, so that a long answer may take until the
 // deadline; the answer of a plain service shows no progress.
 func itemBound(s filter.Service, rest time.Duration) time.Duration {
--- a/controller/system_test.go
+++ b/controller/system_test.go
@@ -153,7 +153,7 @@
 	n.services = map[string]any{"Journal": local, "Job": grants}
 	n.journal = controller.NewJournal(routes, local, n.store, c)
 	n.jobs = controller.NewJobs(n.journal, routes, grants, s.settings)
-	n.runner = controller.NewRunner(controller.NewRunnerParts(n.jobs, s.targets, s.targets, holder, domain, s.clock, c, zerolog.Nop()))
+	n.runner = controller.NewRunner(controller.NewRunnerParts(n.jobs, controller.Dispatched(s.targets), s.targets, holder, domain, s.clock, c, zerolog.Nop()))
 	ids := func() string { return fmt.Sprintf("%s-%d", vm, time.Now().UnixNano()) }
 	a := controller.NewAccepted(controller.NewAcceptedParts(n.journal, s.settings, s.targets, s.targets, holder, ids, s.clock, c, zerolog.Nop()))
 
--- a/daemon/work.go
+++ b/daemon/work.go
@@ -37,7 +37,7 @@
 		WithRetries(filter.NewRetries(slotBounds{config: d.config}, uint64(time.Now().UnixNano()))) //nolint:gosec // spreads retries
 	jobs := controller.NewJobs(j, routes, grants, d.config)
 	runner := controller.NewRunner(controller.NewRunnerParts(
-		jobs, filter.BatchChain(p, c), look, d.holder, d.settings.FailureDomain, time.Now, d.metrics, d.logger))
+		jobs, filter.BatchChain(p, controller.Dispatched(c)), look, d.holder, d.settings.FailureDomain, time.Now, d.metrics, d.logger))
 	accepted := controller.NewAccepted(controller.NewAcceptedParts(
 		j, d.config, filter.AcceptedChain(p, c), look, d.holder, newClaim, time.Now, d.metrics, d.logger))
 
--- a/job/grantor.go
+++ b/job/grantor.go
@@ -96,7 +96,6 @@
 	lease    int64
 	renewals int
 	at       time.Time
-	released bool
 }
 
 type recent struct {
@@ -113,8 +112,8 @@
 	demandTime = 5 * time.Second
 )
 
-// Offers returns the candidates that may be granted at time now: shards without a lease, shards whose lease was not
-// renewed for its duration plus the pause bound, and shards that the asker holds without knowing it. c has every
+// Offers returns the candidates that may be granted at time now: shards without a lease or whose lease was given
+// back, shards whose lease was not renewed for its duration plus the pause bound, and shards that the asker holds without knowing it. c has every
 // leased shard with pending items of the partition; what was seen of others is forgotten.
 func (g *Grantor) Offers(now time.Time, c []Candidate, d Demand, pause time.Duration) []Offer {
 	var l []Offer
@@ -122,7 +121,7 @@
 	seen := make(map[Ref]sight, len(g.sights))
 
 	for _, v := range c {
-		o := Offer{Candidate: v, again: v.leased && v.grant.Holder() == d.holder}
+		o := Offer{Candidate: v, again: v.leased && !v.grant.Released() && v.grant.Holder() == d.holder}
 
 		if v.leased {
 			seen[v.ref] = g.sight(now, v)
@@ -139,7 +138,7 @@
 }
 
 func (g *Grantor) offers(now time.Time, o Offer, s sight, d Demand, pause time.Duration) bool {
-	if o.leased && !o.again && !s.released && now.Sub(s.at) <= o.grant.Duration()+pause {
+	if o.leased && !o.again && !o.grant.Released() && now.Sub(s.at) <= o.grant.Duration()+pause {
 		return false
 	}
 
@@ -163,12 +162,12 @@
 }
 
 // Renew notes a report of the holder of the lease in force, which may have no record.
-func (g *Grantor) Renew(now time.Time, r Ref, v Grant, released bool) {
+func (g *Grantor) Renew(now time.Time, r Ref, v Grant) {
 	if g.sights == nil {
 		g.sights = map[Ref]sight{}
 	}
 
-	g.sights[r] = sight{lease: v.Offset(), renewals: v.Renewals(), at: now, released: released}
+	g.sights[r] = sight{lease: v.Offset(), renewals: v.Renewals(), at: now}
 }
 
 // Choose returns the offers to grant, the highest priority first, then the earliest deadline. A failure domain gets
--- a/job/grantor_test.go
+++ b/job/grantor_test.go
@@ -49,7 +49,7 @@
 
 			if rapid.Bool().Draw(t, "renew") {
 				v, _ := j.Lease(0)
-				g.Renew(now, job.Ref{Job: "j"}, v, false)
+				g.Renew(now, job.Ref{Job: "j"}, v)
 
 				renewed = now
 			}
@@ -88,8 +88,7 @@
 			high.Grant(job.Lease{Job: "high", Holder: "vm2/1", DurationMS: lease.Milliseconds()}, 3)
 			So(g.Offers(now, high.Candidates(8), d, pause), ShouldBeEmpty)
 
-			v, _ := high.Lease(0)
-			g.Renew(now, job.Ref{Job: "high"}, v, true)
+			high.Progress(job.Progress{Job: "high", Lease: 3, Release: true}, now)
 			So(g.Offers(now, high.Candidates(8), d, pause), ShouldHaveLength, 1)
 		})
 	})
@@ -112,3 +111,33 @@
 		})
 	})
 }
+
+// Guards against a report that is delivered twice and undoes the start of an item that was sent in between, which would
+// let another holder send it again.
+func TestSecondCopyOfAReleaseHasNoEffect(t *testing.T) {
+	Convey("Given a started item of a shard that was given back without sending it", t, func() {
+		j := job.New(job.Open{Job: "j", Account: "a", Items: 1, ShardItems: 1})
+		j.Carry(job.Items{Items: make([]job.Item, 1)})
+		j.Submit(time.Unix(1000, 0))
+
+		items, err := job.Bitmap([]int{0})
+		So(err, ShouldBeNil)
+
+		back := job.Progress{Lease: 1, Release: true, Unsent: []uint32{0}}
+
+		j.Grant(job.Lease{Holder: "vm1/1"}, 1)
+		So(j.Start(job.Start{Lease: 1, Items: items}), ShouldBeTrue)
+		j.Progress(back, time.Unix(1000, 0))
+		So(j.Started(0), ShouldBeFalse)
+
+		Convey("it cannot be started under the same lease", func() {
+			So(j.Start(job.Start{Lease: 1, Items: items}), ShouldBeFalse)
+		})
+		Convey("its start under a new lease stays", func() {
+			So(j.Grant(job.Lease{Holder: "vm1/1", Replaces: 1}, 2), ShouldBeTrue)
+			So(j.Start(job.Start{Lease: 2, Items: items}), ShouldBeTrue)
+			j.Progress(back, time.Unix(1000, 0))
+			So(j.Started(0), ShouldBeTrue)
+		})
+	})
+}
--- a/job/holder.go
+++ b/job/holder.go
@@ -83,6 +83,8 @@
 	RenewInterval = 500 * time.Millisecond
 	// renewals is the number of reports in the duration of a lease, so that some may be lost.
 	renewals = 4
+	// GiveBackTime is how long the items of a shard may find no target before the shard is given back.
+	GiveBackTime = 10 * time.Second
 	// MaxResultBytes bounds the body of one result, so that a report fits into a message.
 	MaxResultBytes = 2 << 20
 )
@@ -109,6 +111,9 @@
 	bytes   int
 	oldest  time.Time
 	tries   map[uint32]int
+	unsent  map[uint32]bool // items that may have a start record and were not sent since
+	refused time.Time       // since when items found no target and none ended; zero if not so
+	back    bool            // the shard is to be given back
 	sending bool
 	sentAt  time.Time
 	renewed time.Time
@@ -127,7 +132,7 @@
 		return false
 	}
 
-	v := &held{shard: s, flying: map[uint32]bool{}, tries: map[uint32]int{}, sentAt: now, renewed: now}
+	v := &held{shard: s, flying: map[uint32]bool{}, tries: map[uint32]int{}, unsent: map[uint32]bool{}, sentAt: now, renewed: now}
 	for _, i := range s.Items {
 		v.queue = append(v.queue, queued{item: i})
 	}
@@ -166,6 +171,7 @@
 	q := v.queue[i]
 	v.queue = slices.Delete(v.queue, i, i+1)
 	v.flying[q.item.Index] = true
+	delete(v.unsent, q.item.Index)
 
 	s := v.shard
 
@@ -228,11 +234,12 @@
 	delete(v.flying, t.Index())
 
 	if d == Refused {
-		v.queue = append(v.queue, queued{item: t.item, runs: t.runs + 1, ready: now.Add(backoff(t.runs))})
+		v.refuse(now, t)
 
 		return
 	}
 
+	v.refused = time.Time{}
 	t.item.Attempts++
 
 	if retryable(d, t, v.shard) {
@@ -257,6 +264,24 @@
 	v.bytes += len(r.Body) + len(r.Reason)
 }
 
+// refuse queues an item that was not sent. A shard whose items find no target for a while is given back, as another failure
+// domain may have room. Items that may not run twice stay, as their wait follows their start record.
+func (v *held) refuse(now time.Time, t Task) {
+	v.queue = append(v.queue, queued{item: t.item, runs: t.runs + 1, ready: now.Add(backoff(t.runs))})
+
+	if !v.shard.Idempotent {
+		v.unsent[t.Index()] = !t.item.Started
+
+		return
+	}
+
+	if v.refused.IsZero() {
+		v.refused = now
+	}
+
+	v.back = len(v.flying) == 0 && now.Sub(v.refused) >= GiveBackTime
+}
+
 func retryable(d Verdict, t Task, s Shard) bool {
 	return (d == Faulted || d == Uncertain) && s.Idempotent && t.item.Attempts < s.MaxAttempts
 }
@@ -306,7 +331,7 @@
 func (v *held) due(now time.Time) bool {
 	interval := min(RenewInterval, time.Duration(v.shard.DurationMS)*time.Millisecond/renewals)
 
-	return now.Sub(v.sentAt) >= interval || v.bytes >= ReportBytes || len(v.results) >= ReportResults ||
+	return v.back || now.Sub(v.sentAt) >= interval || v.bytes >= ReportBytes || len(v.results) >= ReportResults ||
 		len(v.results) > 0 && (now.Sub(v.oldest) >= ReportDelay || v.idle())
 }
 
@@ -329,6 +354,9 @@
 
 	slices.SortFunc(r.Tries, func(a, b Try) int { return cmp.Compare(a.Index, b.Index) })
 
+	r.Release = v.back && len(v.flying) == 0 && n == len(v.results)
+	v.back = r.Release
+
 	return r
 }
 
@@ -340,7 +368,7 @@
 		return false
 	}
 
-	if !a.Holds || a.Cancelled {
+	if !a.Holds || a.Cancelled || r.Release {
 		delete(h.shards, r.Ref())
 
 		return true
@@ -425,11 +453,15 @@
 			r := v.report(now)
 			v.results = v.results[len(r.Results):]
 			r.Release = len(v.results) == 0
-			l = append(l, r)
 
 			if r.Release {
+				r.Unsent = v.notSent()
+				l = append(l, r)
+
 				break
 			}
+
+			l = append(l, r)
 		}
 	}
 
@@ -438,6 +470,21 @@
 	return l
 }
 
+// notSent returns the items with a start record that were not sent, in order.
+func (v *held) notSent() []uint32 {
+	var l []uint32
+
+	for i, ok := range v.unsent {
+		if ok {
+			l = append(l, i)
+		}
+	}
+
+	slices.Sort(l)
+
+	return l
+}
+
 // Held returns the shards that are held, in order.
 func (h *Holder) Held() []Ref {
 	l := make([]Ref, 0, len(h.shards))
--- a/job/holder_test.go
+++ b/job/holder_test.go
@@ -87,6 +87,27 @@
 			So(h.Due(now)[0].Tries, ShouldBeEmpty)
 			So(h.Due(now), ShouldBeEmpty)
 		})
+		Convey("a shard whose items find no target is given back", func() {
+			for h.End(now, bad, job.Refused, job.Result{}); ; {
+				now = now.Add(time.Second)
+
+				r := h.Due(now)
+				So(r, ShouldHaveLength, 1)
+
+				if r[0].Release {
+					So(now.Sub(time.Unix(1000, 0)), ShouldBeGreaterThanOrEqualTo, job.GiveBackTime)
+					So(h.Answered(r[0], job.Renewal{Holds: true}), ShouldBeTrue)
+
+					break
+				}
+
+				So(h.Answered(r[0], job.Renewal{Holds: true}), ShouldBeFalse)
+
+				if k, ok := h.Next(now); ok {
+					h.End(now, k, job.Refused, job.Result{})
+				}
+			}
+		})
 		Convey("attempts are reported, so that they count after a takeover", func() {
 			h.End(now, bad, job.Faulted, job.Result{})
 			So(h.Due(now.Add(job.RenewInterval))[0].Tries, ShouldResemble, []job.Try{{Index: bad.Index(), Attempts: 1}})
@@ -134,6 +155,16 @@
 			k, _ := h.Next(now)
 			So(k.Ref().Job, ShouldEqual, "high")
 		})
+		Convey("a started item that was not sent is given back as such, and one in flight is not", func() {
+			h.End(now, k, job.Refused, job.Result{})
+			_, _ = h.Next(now)
+
+			for _, r := range h.Release(now) {
+				if r.Job == "high" {
+					So(r.Unsent, ShouldResemble, []uint32{k.Index()})
+				}
+			}
+		})
 		Convey("all results are given back with the leases", func() {
 			h.End(now, k, job.Uncertain, job.Result{})
 
--- a/job/image.go
+++ b/job/image.go
@@ -29,7 +29,7 @@
 	m.Tries = maps.Clone(j.tries)
 
 	for _, g := range j.leases {
-		m.Leases = append(m.Leases, LeaseImage{Lease: g.record, Offset: g.offset, Renewals: g.renewals})
+		m.Leases = append(m.Leases, LeaseImage{Lease: g.record, Offset: g.offset, Renewals: g.renewals, Released: g.released})
 	}
 
 	slices.SortFunc(m.Leases, func(a, b LeaseImage) int { return cmp.Compare(a.Lease.Shard, b.Lease.Shard) })
@@ -79,7 +79,7 @@
 	}
 
 	for _, l := range m.Leases {
-		j.leases[l.Lease.Shard] = Grant{record: l.Lease, offset: l.Offset, renewals: l.Renewals}
+		j.leases[l.Lease.Shard] = Grant{record: l.Lease, offset: l.Offset, renewals: l.Renewals, released: l.Released}
 	}
 
 	return j, nil
--- a/job/interleaving_test.go
+++ b/job/interleaving_test.go
@@ -29,6 +29,7 @@
 	sent    map[uint32]int
 	final   map[int]job.Result
 	frozen  *job.Status
+	copies  []job.Report // reports whose second copy may still arrive
 }
 
 func newWorld(t *rapid.T) *world {
@@ -72,7 +73,7 @@
 			w.writers[by].Settled(o.Ref())
 		}
 
-		if g, ok := w.job.Lease(s); ok && g.Holder() == w.names[i] && w.job.State() == job.Running && !lost {
+		if g, ok := w.job.Lease(s); ok && g.Holder() == w.names[i] && w.job.Holds(s, g.Offset()) && !lost {
 			v := w.job.Leased(s)
 			v.Items, _ = w.job.ItemsFrom(s, 0, 1<<20)
 			w.holders[i].Take(w.now, v)
@@ -135,13 +136,11 @@
 			continue
 		}
 
-		if len(r.Results) > 0 || len(r.Tries) > 0 {
-			w.job.Progress(job.Progress{Job: "j", Shard: r.Shard, Lease: r.Lease, Results: r.Results, Tries: r.Tries}, w.now)
-		}
+		w.progress(r)
 
 		a := w.job.Renewal(r.Shard, r.Lease)
 		if g, _ := w.job.Lease(r.Shard); a.Holds {
-			w.writers[by].Renew(w.now, r.Ref(), g, false)
+			w.writers[by].Renew(w.now, r.Ref(), g)
 		}
 
 		if lostAnswer {
@@ -152,6 +151,14 @@
 	}
 }
 
+func (w *world) progress(r job.Report) {
+	if len(r.Results) > 0 || len(r.Tries) > 0 || r.Release {
+		w.job.Progress(job.Progress{
+			Job: "j", Shard: r.Shard, Lease: r.Lease, Results: r.Results, Tries: r.Tries, Release: r.Release, Unsent: r.Unsent,
+		}, w.now)
+	}
+}
+
 func (w *world) check(t *rapid.T) {
 	for i := range w.job.Items() {
 		r, ok := w.job.Result(i)
@@ -220,6 +227,17 @@
 			},
 			"report": func(*rapid.T) { w.report(one("holder"), by(), lost("request"), lost("answer")) },
 			"crash":  func(*rapid.T) { w.crash(one("holder")) },
+			"give back": func(*rapid.T) {
+				for _, r := range w.holders[one("holder")].Release(w.now) {
+					w.progress(r)
+					w.copies = append(w.copies, r)
+				}
+			},
+			"second copy": func(*rapid.T) {
+				for _, r := range w.copies {
+					w.progress(r)
+				}
+			},
 			"cut off": func(*rapid.T) {
 				w.holders[one("holder")].Cutoff(w.now, lease)
 			},
--- a/job/job.go
+++ b/job/job.go
@@ -52,6 +52,7 @@
 	record   Lease
 	offset   int64
 	renewals int
+	released bool
 }
 
 // Offset returns the lease's offset, which is its fencing token.
@@ -67,6 +68,9 @@
 // the lease's duration again.
 func (g Grant) Renewals() int { return g.renewals }
 
+// Released reports whether the holder has given the lease back.
+func (g Grant) Released() bool { return g.released }
+
 // Duration returns the time without renewal after which the lease may be replaced.
 func (g Grant) Duration() time.Duration {
 	return time.Duration(g.record.DurationMS) * time.Millisecond
@@ -282,11 +286,19 @@
 
 	g := j.leases[r.Shard]
 	g.renewals++
+	g.released = r.Release
 	j.leases[r.Shard] = g
 
 	n := 0
 	first, end := j.Bounds(r.Shard)
 
+	// The lease ends with the same record, so that a second copy cannot undo a later start of the same holder.
+	for _, u := range r.Unsent {
+		if i := int(u); r.Release && i >= first && i < end {
+			j.started.Remove(u)
+		}
+	}
+
 	for _, t := range r.Tries {
 		if i := int(t.Index); i >= first && i < end && !j.ended.ContainsInt(i) {
 			j.tries[t.Index] = max(j.tries[t.Index], t.Attempts)
@@ -377,7 +389,7 @@
 func (j *Job) holds(s int, lease int64) bool {
 	g, ok := j.leases[s]
 
-	return ok && j.state == Running && g.offset == lease
+	return ok && !g.released && j.state == Running && g.offset == lease
 }
 
 func (j *Job) finish(at time.Time) {
--- a/job/message.go
+++ b/job/message.go
@@ -42,6 +42,7 @@
 	Lease   int64    `msgpack:"lease"` // offset of the lease
 	Results []Result `msgpack:"results"`
 	Tries   []Try    `msgpack:"tries"`
+	Unsent  []uint32 `msgpack:"unsent"`  // as in Progress
 	Release bool     `msgpack:"release"` // the holder has stopped and the shard may be granted at once
 }
 
--- a/job/record.go
+++ b/job/record.go
@@ -107,7 +107,9 @@
 	Shard   int      `msgpack:"shard"`
 	Lease   int64    `msgpack:"lease"` // offset of the lease
 	Results []Result `msgpack:"results"`
-	Tries   []Try    `msgpack:"tries"` // attempts so far, so that the bound holds across takeovers
+	Tries   []Try    `msgpack:"tries"`   // attempts so far, so that the bound holds across takeovers
+	Release bool     `msgpack:"release"` // the holder has stopped; the lease ends with this record
+	Unsent  []uint32 `msgpack:"unsent"`  // started items that the holder did not send; only with Release
 }
 
 // Cancel stops a job. It fences every lease, start and progress after it.
@@ -142,6 +144,7 @@
 	Lease    Lease `msgpack:"lease"`
 	Offset   int64 `msgpack:"offset"`
 	Renewals int   `msgpack:"renewals"`
+	Released bool  `msgpack:"released"`
 }
 
 // Results carries results of a job in a snapshot.
