--- a/journal/work.go
+++ b/journal/work.go
@@ -32,13 +32,10 @@
 		return Leave
 	}
 
-	if w.claim.ID == "" {
-		// A claim that replaced another one and was given back leaves work that was accepted and has no holder.
-		if w.accept.Async || w.replaced {
-			return Run
-		}
+	again := w.accept.Idempotent && (w.accept.Async || len(w.accept.Body) > 0)
 
-		return Leave
+	if w.claim.ID == "" {
+		return w.unclaimed(again)
 	}
 
 	end := time.UnixMilli(w.accept.DeadlineMS)
@@ -50,9 +47,22 @@
 		return Leave
 	}
 
-	if w.accept.Idempotent && (w.accept.Async || len(w.accept.Body) > 0) {
+	if again {
 		return Rerun
 	}
 
 	return Resolve
 }
+
+// unclaimed returns what to do with accepted work without a claim. Work whose claim was replaced before the last one
+// was given back stays accepted, and any daemon may run it, as only work that may run again has its claim replaced.
+func (w Work) unclaimed(again bool) Step {
+	switch {
+	case again && w.replaced, w.accept.Async:
+		return Run
+	case w.replaced:
+		return Resolve
+	default:
+		return Leave
+	}
+}
