--- a/appender/appender_test.go
+++ b/appender/appender_test.go
@@ -112,6 +112,33 @@
 	})
 }
 
+// Guards against a group that was given up and waits for good, when the replay goes on from a snapshot behind it.
+func TestGivenUpGroupIsSettledByASnapshot(t *testing.T) {
+	Convey("Given a lost group that was given up", t, func() {
+		q := appender.New("vm", appender.Limits{})
+		t := q.Add(1, record())
+		q.Next(now, 0, false)
+		q.Lost(now)
+		So(q.Abandon(t), ShouldEqual, appender.Sent)
+
+		Convey("a snapshot with its number confirms it", func() {
+			So(q.Restored(20, 1)[0].State(), ShouldEqual, appender.Confirmed)
+		})
+		Convey("a snapshot with a later number leaves it unknown", func() {
+			So(q.Restored(20, 2)[0].State(), ShouldEqual, appender.Unknown)
+		})
+		Convey("without a snapshot a later number settles it", func() {
+			g, ok, _ := q.Next(now.Add(time.Minute), 0, false)
+			So(ok, ShouldBeTrue)
+			So(g.Number, ShouldEqual, 2)
+			So(g.Records, ShouldBeEmpty)
+			q.Confirmed(9)
+			So(q.Replayed(2, 9, 2)[0].State(), ShouldEqual, appender.Withdrawn)
+			So(q.Pending(), ShouldEqual, 0)
+		})
+	})
+}
+
 func ExampleQueue() {
 	q := appender.New("vm-1/4f0a", appender.Limits{})
 	t := q.Add(100, record())
--- a/controller/follow.go
+++ b/controller/follow.go
@@ -16,14 +16,21 @@
 	Peers() []Peer
 }
 
-// Opener starts to follow partitions.
+// Opener starts and stops to follow partitions.
 type Opener interface {
 	Open(p int)
+	// Close stops to follow a partition that nobody uses, and reports whether it is closed.
+	Close(p int) bool
+	Followed() []int
 }
 
 // followInterval is the time between two comparisons of the peers with the partitions followed.
 const followInterval = 200 * time.Millisecond
 
+// closeInterval is the time between two closings of partitions that fell to other daemons. A daemon that reached no
+// follower has opened some for itself and may need them again soon.
+const closeInterval = time.Minute
+
 // Follow opens the partitions that this daemon follows and tells which daemons follow a partition.
 type Follow struct {
 	peers PeerList
@@ -42,8 +49,17 @@
 
 // Run follows the membership until ctx ends.
 func (f *Follow) Run(ctx context.Context) error {
+	next := time.Now().Add(closeInterval)
+
 	for ctx.Err() == nil {
 		f.Refresh()
+
+		if now := time.Now(); now.After(next) {
+			next = now.Add(closeInterval)
+
+			f.CloseOthers()
+		}
+
 		sleep(ctx, followInterval)
 	}
 
@@ -60,6 +76,15 @@
 	}
 }
 
+// CloseOthers closes the partitions that are followed here and fall to other daemons, unless they are in use.
+func (f *Follow) CloseOthers() {
+	for _, p := range f.store.Followed() {
+		if len(f.Followers(p)) > 0 && !f.Follows(p) {
+			f.store.Close(p)
+		}
+	}
+}
+
 // update stores the followers and returns the partitions that this daemon follows.
 func (f *Follow) update(l []Peer) []int {
 	f.mu.Lock()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -40,6 +40,7 @@
 	config    *controller.Config
 	targets   *controller.Targets
 	store     *store.Store
+	follow    *controller.Follow
 	metrics   *metrics
 	server    *peer.Server
 	client    *peer.Client
@@ -99,7 +100,9 @@
 	k := peer.NewKeys(d.settings.PeerKeys)
 	d.server, d.client = peer.NewServer(k), peer.NewClient(k)
 	l := appender.NewLimits(0, 0, appendInterval).WithBurst(appendBurst)
-	o := store.NewOptions(d.holder, partitions, l, time.Now).WithSnapshots(wire.Parts{}, d.settings.LogRetention.Value())
+	o := store.NewOptions(d.holder, partitions, l, time.Now).
+		WithSnapshots(wire.Parts{}, d.settings.LogRetention.Value()).
+		WithWrites(func(p int) bool { return d.follow.Writes(p) })
 	d.store = store.New(p, wire.Groups{}, o)
 	d.config = controller.NewConfig(p, wire.Versions{}, d.logger)
 
--- a/daemon/work.go
+++ b/daemon/work.go
@@ -24,6 +24,7 @@
 // precedes the actors that they need when they stop, as actors are stopped in the order in which they are added.
 func (d *Daemon) buildWork(l controller.PeerList, r filter.Router, c *target.Client) work {
 	f := controller.NewFollow(l, d.store, d.settings.VM, partitions)
+	d.follow = f
 	routes := controller.NewRoutes(f, caller{client: d.client}, d.metrics)
 	journals := controller.NewJournalService(d.store, partitions, d.metrics)
 	grants := controller.NewJobService(d.store, d.config, f, time.Now, d.metrics)
--- a/store/model_test.go
+++ b/store/model_test.go
@@ -20,8 +20,8 @@
 	"github.com/agategap/agategap/wire"
 )
 
-// TestMain fixes the seed of the properties, so that CI repeats itself, and lengthens a run to about 100 steps. More
-// runs: go test ./store -rapid.checks 10000 -rapid.seed N.
+// TestMain fixes the seed of the properties, so that CI repeats itself, and makes 300 runs.
+// More runs: go test ./store -rapid.checks 10000 -rapid.seed N.
 func TestMain(m *testing.M) {
 	flag.Parse()
 
@@ -29,8 +29,8 @@
 		_ = f.Value.Set("20261204")
 	}
 
-	if f := flag.Lookup("rapid.steps"); f.Value.String() == f.DefValue {
-		_ = f.Value.Set("100")
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("300")
 	}
 
 	os.Exit(m.Run())
@@ -144,7 +144,7 @@
 		finalAt: map[string]time.Time{}, cancelled: map[string]bool{}, itemRuns: map[string]int{}, itemFinal: map[string]string{},
 	}
 
-	w.limits = appender.NewLimits(rapid.SampledFrom([]int{3, 12}).Draw(t, "group"), 0, time.Millisecond)
+	w.limits = appender.NewLimits(oneOf(t, "group", 3, 12), 0, time.Millisecond)
 
 	const nodes = 3
 	for range nodes {
@@ -196,7 +196,7 @@
 
 	what := "refused"
 	if !n.off {
-		what = rapid.SampledFrom([]string{"ok", "ok", "ok", "refused", "lost before", "lost after", "late"}).Draw(n.w.t, "append")
+		what = oneOf(n.w.t, "append", "ok", "ok", "ok", "ok", "refused", "lost before", "lost after", "late")
 	}
 
 	switch what {
@@ -356,7 +356,7 @@
 	for ; d > 0; d -= retention / 16 {
 		w.log.advance(min(d, retention/16))
 
-		n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(w.t, "writer")]
+		n := oneOf(w.t, "writer", w.nodes...)
 		if !n.off {
 			n.replay(-1)
 
--- a/store/property_test.go
+++ b/store/property_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/bits"
 	"slices"
 	"testing"
 	"time"
@@ -15,16 +17,37 @@
 )
 
 const (
-	retainWork = 20 * time.Minute
+	retainWork = 10 * time.Minute
 	retainJob  = 1000 * time.Hour
 	jobItems   = 3
-	leaseTime  = 10 * time.Second
-	pauseBound = 10 * time.Second
+	leaseTime  = 5 * time.Minute
+	pauseBound = time.Minute
 	sendTime   = time.Second
 )
 
 var terms = lease.NewTerms(leaseTime, pauseBound, sendTime)
 
+// meanSteps is the mean number of steps of a run.
+const meanSteps = 100
+
+// even draws an index below n. The draws of rapid prefer small values, so that the last of many choices would hardly
+// ever come up.
+func even(t *rapid.T, n int, label string) int {
+	const spare = 3 // bits that make the remainder nearly even
+
+	v := 0
+	for range bits.Len(uint(n)) + spare {
+		v *= 2
+		if rapid.Bool().Draw(t, label) {
+			v++
+		}
+	}
+
+	return v % n
+}
+
+func oneOf[T any](t *rapid.T, label string, l ...T) T { return l[even(t, len(l), label)] }
+
 // mark is a record without effect that names the operation which carries it.
 func mark(id string) journal.Record {
 	return journal.Record{Release: &journal.Release{Account: "op", Key: id}}
@@ -40,9 +63,9 @@
 
 // keys are used by two accounts, so that an answer under the wrong account shows. Work under k0 may run again.
 func drawKey(t *rapid.T) (journal.Key, bool) {
-	k := rapid.SampledFrom([]string{"k0", "k1"}).Draw(t, "key")
+	k := oneOf(t, "key", "k0", "k1")
 
-	return journal.NewKey(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "account"), k), k == "k0"
+	return journal.NewKey(oneOf(t, "account", "a", "b"), k), k == "k0"
 }
 
 func (n *node) busy(k journal.Key) bool {
@@ -105,7 +128,7 @@
 		return
 	}
 
-	if rapid.IntRange(0, 3).Draw(n.w.t, "no target") == 0 {
+	if even(n.w.t, 4, "no target") == 0 {
 		n.release(k, id)
 
 		return
@@ -144,7 +167,7 @@
 	}
 
 	slices.SortFunc(l, func(a, b *op) int { return int(a.ticket) - int(b.ticket) })
-	o := rapid.SampledFrom(l).Draw(n.w.t, "caller")
+	o := oneOf(n.w.t, "caller", l...)
 
 	s := n.queue.Withdraw(o.ticket)
 	if s == appender.Sent && rapid.Bool().Draw(n.w.t, "abandon") {
@@ -260,18 +283,17 @@
 
 // heldShard is a shard of a job that a node holds.
 type heldShard struct {
-	job     string
-	shard   int
-	held    lease.Held
-	started bool
+	job   string
+	shard int
+	held  lease.Held
 }
 
-func drawJob(t *rapid.T) string { return rapid.SampledFrom([]string{"j0", "j1"}).Draw(t, "job") }
+func drawJob(t *rapid.T) string { return oneOf(t, "job", "j0", "j1") }
 
 // submitJob submits a job in two operations, as a large one is. Two digests stand for two different submissions
 // under one key.
 func (n *node) submitJob() {
-	id, digest := drawJob(n.w.t), rapid.SampledFrom([]string{"d0", "d1"}).Draw(n.w.t, "digest")
+	id, digest := drawJob(n.w.t), oneOf(n.w.t, "digest", "d0", "d1")
 	o := &job.Open{
 		Job: id, Account: "a", Digest: digest, Idempotent: id == "j0", Items: jobItems, ShardItems: 2,
 		RetainMS: retainJob.Milliseconds(),
@@ -292,54 +314,69 @@
 
 // grant leases a shard, or takes it over once its lease may have ended.
 func (n *node) grant() {
-	id, s := drawJob(n.w.t), rapid.IntRange(0, 1).Draw(n.w.t, "shard")
-	name := fmt.Sprintf("%s/%d", id, s)
+	var l []func()
 
-	n.part.Job(id, func(j *job.Job) {
-		if j.State() != job.Running || len(j.Left(s)) == 0 {
-			return
-		}
+	for _, id := range []string{"j0", "j1"} {
+		n.part.Job(id, func(j *job.Job) {
+			for s := range j.Shards() {
+				if g, _ := j.Lease(s); j.State() == job.Running && len(j.Left(s)) > 0 && n.watch(id, s, g).MayTakeOver(n.w.log.now) {
+					l = append(l, func() { n.lease(id, s, g) })
+				}
+			}
+		})
+	}
+
+	if len(l) > 0 {
+		oneOf(n.w.t, "shard", l...)()
+	}
+}
 
-		g, _ := j.Lease(s)
+// watch notes the lease in force on a shard.
+func (n *node) watch(id string, s int, g job.Grant) *lease.Watch {
+	name := fmt.Sprintf("%s/%d", id, s)
 
-		w := n.watches[name]
-		if w == nil {
-			w = &lease.Watch{}
-			n.watches[name] = w
-		}
+	w := n.watches[name]
+	if w == nil {
+		w = &lease.Watch{}
+		n.watches[name] = w
+	}
 
-		w.Seen(n.w.log.now, g.Offset(), g.Renewals(), terms)
+	w.Seen(n.w.log.now, g.Offset(), g.Renewals(), terms)
 
-		if !w.MayTakeOver(n.w.log.now) {
-			return
-		}
+	return w
+}
 
-		op := n.w.id("op")
-		l := &job.Lease{Job: id, Shard: s, Domain: op, Holder: n.name, Replaces: g.Offset()}
-		asked := n.w.log.now
-		n.submit(op, func(n *node) { n.granted(id, s, op, asked) }, mark(op), journal.Record{Lease: l})
-	})
+func (n *node) lease(id string, s int, g job.Grant) {
+	op := n.w.id("op")
+	l := &job.Lease{Job: id, Shard: s, Domain: op, Holder: n.name, Replaces: g.Offset()}
+	asked := n.w.log.now
+	n.submit(op, func(n *node) { n.granted(id, s, op, asked) }, mark(op), journal.Record{Lease: l})
 }
 
+// granted is called when the replay has reached a lease record. The holder starts at once, or later, when it may have
+// been paused past its lease.
 func (n *node) granted(id string, s int, op string, asked time.Time) {
 	n.part.Job(id, func(j *job.Job) {
 		if g, ok := j.Lease(s); ok && g.Domain() == op {
 			n.held[fmt.Sprintf("%s/%d", id, s)] = heldShard{job: id, shard: s, held: lease.Take(g.Offset(), asked, terms)}
 		}
 	})
+
+	if rapid.Bool().Draw(n.w.t, "start now") {
+		n.startItems()
+	}
 }
 
 // startItems records the items of a held shard as started and runs them once that is replayed.
 func (n *node) startItems() {
-	name := fmt.Sprintf("%s/%d", drawJob(n.w.t), rapid.IntRange(0, 1).Draw(n.w.t, "shard"))
-
-	h, ok := n.held[name]
-	if !ok || h.started {
+	l := slices.Sorted(maps.Keys(n.held))
+	if len(l) == 0 {
 		return
 	}
 
-	h.started = true
-	n.held[name] = h
+	name := oneOf(n.w.t, "held", l...)
+	h := n.held[name]
+	delete(n.held, name)
 
 	var run, uncertain []int
 
@@ -397,7 +434,7 @@
 	id, op, priority := drawJob(n.w.t), n.w.id("op"), n.w.ids
 
 	r := journal.Record{Cancel: &job.Cancel{Job: id, Account: "a"}}
-	if rapid.Bool().Draw(n.w.t, "amend") {
+	if even(n.w.t, 5, "amend") > 0 {
 		r = journal.Record{Amend: &job.Amend{Job: id, Account: "a", Priority: &priority}}
 	}
 
@@ -411,7 +448,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 
-		draw := func() *node { return w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")] }
+		draw := func() *node { return oneOf(t, "node", w.nodes...) }
 		step := func(f func(n *node)) func(*rapid.T) {
 			return func(*rapid.T) {
 				f(draw())
@@ -422,8 +459,11 @@
 
 		turn := func(n *node) {
 			w.log.advance(3 * time.Second)
-			n.send()
-			n.replay(-1)
+
+			for range 3 { // an answer to a record often leads to the next record
+				n.send()
+				n.replay(-1)
+			}
 		}
 		cycle := step(turn)
 		settle := func(*rapid.T) {
@@ -442,25 +482,25 @@
 			"read":       read,
 			"cycle":      cycle,
 			"cycle more": cycle,
+			"cycle most": cycle,
 			"late": func(t *rapid.T) {
 				if len(w.late) > 0 {
-					i := rapid.IntRange(0, len(w.late)-1).Draw(t, "append")
+					i := even(t, len(w.late), "append")
 					w.append(w.late[i])
 					w.late = slices.Delete(w.late, i, i+1)
 				}
 			},
-			"crash":         func(t *rapid.T) { w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")] = w.newNode() },
+			"crash":         func(t *rapid.T) { w.nodes[even(t, len(w.nodes), "node")] = w.newNode() },
 			"cut or heal":   step(func(n *node) { n.off = !n.off }),
 			"half snapshot": step(func(n *node) { n.writeSnapshot(rapid.IntRange(0, 2).Draw(t, "parts")) }),
 			"wait":          func(*rapid.T) { w.log.advance(leaseTime) },
 			"pass": func(t *rapid.T) {
-				w.tick(time.Duration(rapid.IntRange(1, 90).Draw(t, "minutes")) * time.Minute)
+				w.tick(time.Duration(oneOf(t, "minutes", 1, 1, 2, 30, 90)) * time.Minute)
 			},
-			"": func(*rapid.T) { w.check() },
 		}
 
 		// A run is about work, about jobs or about both, so that long histories of each come up.
-		about := rapid.SampledFrom([]string{"work", "jobs", "both"}).Draw(t, "about")
+		about := oneOf(t, "about", "work", "jobs", "both")
 		if about != "jobs" {
 			actions["request"], actions["take over"] = step((*node).request), step((*node).takeOver)
 		}
@@ -471,7 +511,12 @@
 			actions["start more"] = actions["start"]
 		}
 
-		t.Repeat(actions)
+		names := slices.Sorted(maps.Keys(actions))
+
+		for range even(t, 2*meanSteps, "steps") {
+			actions[names[even(t, len(names), "action")]](t)
+			w.check()
+		}
 
 		// Every store is replaced: what the log has is enough.
 		n := w.newNode()
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -204,3 +204,58 @@
 		})
 	})
 }
+
+// Guards against a partition whose records the log drops before anybody carried them into a snapshot, and against
+// every follower writing one.
+func TestWriterCarriesRecordsIntoASnapshot(t *testing.T) {
+	defer goleak.VerifyNone(t)
+
+	Convey("Given the writer and a second follower of a partition", t, func() {
+		const short = time.Second
+
+		l := newLog()
+		run := func(writer string, writes bool) (*store.Store, func()) {
+			o := store.NewOptions(writer, 2, appender.Limits{}, l.clock).WithSnapshots(wire.Parts{}, short)
+			s := store.New(l, wire.Groups{}, o.WithWrites(func(int) bool { return writes }))
+
+			return s, func() {
+				s.Stop()
+				_ = s.Wait()
+			}
+		}
+
+		w, stopWriter := run("writer", true)
+		f, stopFollower := run("follower", false)
+
+		f.Open(0)
+		So(submit(w, time.Second, accept("k")), ShouldBeNil)
+
+		for n := int64(1); n <= 3; n++ { // the partition is idle after the first snapshot
+			l.advance(short / 2)
+
+			end := time.Now().Add(5 * time.Second)
+			for w.Snapshots() < n && time.Now().Before(end) {
+				time.Sleep(time.Millisecond)
+			}
+
+			So(w.Snapshots(), ShouldEqual, n)
+			l.drop(l.clock().Add(-short))
+		}
+
+		So(f.Snapshots(), ShouldEqual, 0)
+		stopWriter()
+		stopFollower()
+
+		Convey("a store that starts when the record was dropped has the work", func() {
+			n, stop := run("new", false)
+			Reset(stop)
+
+			c, end := within(5 * time.Second)
+			defer end()
+			So(n.Sync(c, 0), ShouldBeNil)
+
+			_, ok := n.Replay(0).Lookup(journal.NewKey("a", "k"))
+			So(ok, ShouldBeTrue)
+		})
+	})
+}
