--- a/controller/config.go
+++ b/controller/config.go
@@ -70,7 +70,7 @@
 }
 
 // SetRepublisher lets the controller republish the version in force before a log that keeps records for a retention
-// time drops it. It is called before Run.
+// time drops it. A retention of 0 means that the log keeps them for good. It is called before Run.
 func (c *Config) SetRepublisher(r Republisher, retention time.Duration, clock func() time.Time) {
 	c.republish, c.retention, c.clock = r, retention, clock
 }
@@ -149,37 +149,6 @@
 	}
 }
 
-// ReplayVersions replays the configuration stream up to an offset; 0 means to its end.
-func ReplayVersions(ctx context.Context, l Log, c VersionCodec, until int64) (*config.Ledger, error) {
-	var g config.Ledger
-
-	for from := int64(1); ; {
-		p, err := l.Read(ctx, ConfigStream, from, 0)
-		if errors.Is(err, stream.ErrDropped) && p.Oldest() > from {
-			from = p.Oldest()
-			g.Restart(from)
-
-			continue
-		}
-
-		if err != nil {
-			return nil, err
-		}
-
-		for _, e := range p.Entries() {
-			from = e.Offset() + 1
-
-			if v, err := c.DecodeVersion(e.Data()); err == nil && (until == 0 || e.Offset() <= until) {
-				_, _ = g.Apply(e.Offset(), v)
-			}
-		}
-
-		if from >= p.Next() || until > 0 && from > until {
-			return &g, nil
-		}
-	}
-}
-
 // adopt makes the version in force visible to the filters.
 func (c *Config) adopt() {
 	f := c.ledger.InForce()
@@ -207,6 +176,7 @@
 func service(v config.ServiceRecord) filter.Service {
 	return filter.NewService(filter.ServiceSettings{
 		Name:          v.Name,
+		Targets:       v.Targets,
 		Plain:         v.Kind == config.KindPlain,
 		Idempotent:    v.Idempotent,
 		Record:        v.Record,
--- /dev/null
+++ b/controller/slots_test.go
@@ -0,0 +1,338 @@
+package controller_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agategap/agategap/balance"
+	"github.com/agategap/agategap/controller"
+	"github.com/agategap/agategap/filter"
+	"github.com/agategap/agategap/outcome"
+	"github.com/agategap/agategap/sched"
+	"github.com/agategap/agategap/shard"
+)
+
+// domain is a failure domain whose daemons call each other without a network.
+type domain struct {
+	mu     sync.Mutex
+	slots  map[string]*controller.Slots // by address, which is the name of the VM
+	peers  map[string][]string          // the membership that each daemon sees
+	silent map[string]bool
+	dead   map[string]chan struct{}
+}
+
+func newDomain(t *testing.T, vms ...string) *domain {
+	t.Helper()
+
+	d := &domain{
+		slots: map[string]*controller.Slots{}, peers: map[string][]string{}, silent: map[string]bool{}, dead: map[string]chan struct{}{},
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+
+	for _, n := range vms {
+		d.peers[n] = vms
+		d.dead[n] = make(chan struct{})
+		s := controller.NewSlots(controller.NewPeer(n, n, "d", "r"), view{d, n}, d, slotSettings{}, time.Now, false)
+		d.slots[n] = s
+
+		go func() { _ = s.Run(ctx) }()
+	}
+
+	return d
+}
+
+// kill makes calls to a daemon fail, and those that wait too.
+func (d *domain) kill(vm string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	close(d.dead[vm])
+}
+
+func (d *domain) setPeers(vm string, peers ...string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.peers[vm] = peers
+}
+
+var errConnection = errors.New("the connection broke")
+
+func (d *domain) Call(ctx context.Context, address, method string, args, reply any) error {
+	d.mu.Lock()
+	s, dead := d.slots[address].Service(), d.dead[address]
+	d.mu.Unlock()
+
+	done := make(chan error, 1)
+
+	go func() {
+		switch a := args.(type) {
+		case sched.AcquireArgs:
+			done <- s.Acquire(a, reply.(*sched.AcquireReply))
+		case sched.RenewArgs:
+			done <- s.Renew(a, reply.(*sched.RenewReply))
+		case sched.ReleaseArgs:
+			done <- s.Release(a, reply.(*sched.ReleaseReply))
+		}
+	}()
+
+	select {
+	case <-dead:
+		return errConnection
+	default:
+	}
+
+	select {
+	case err := <-done:
+		return err
+	case <-dead:
+		return errConnection
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+type view struct {
+	domain *domain
+	vm     string
+}
+
+func (v view) Domain(string) (string, bool) { return "d", true }
+
+func (v view) Peers() []controller.Peer {
+	v.domain.mu.Lock()
+	defer v.domain.mu.Unlock()
+
+	var l []controller.Peer
+	for _, n := range v.domain.peers[v.vm] {
+		l = append(l, controller.NewPeer(n, n, "d", "r"))
+	}
+
+	return l
+}
+
+type slotSettings struct{}
+
+func (slotSettings) AtRiskShare() float64 { return 0 }
+
+// demands makes demands with their own identifiers.
+type demands struct{ n int }
+
+func (d *demands) next(vm string, c sched.Class, account string) sched.Demand {
+	d.n++
+
+	return sched.NewDemand(sched.GrantID(fmt.Sprintf("%s/%d", vm, d.n)), vm, account, c, time.Now().Add(5*time.Second))
+}
+
+// fill acquires slots until one has to wait.
+func fill(s *controller.Slots, vm string, n *demands, c sched.Class) []balance.Permit {
+	var l []balance.Permit
+
+	for {
+		p, err := s.Acquire(context.Background(), "target", n.next(vm, c, "a").WithMaxWait(-1))
+		if err != nil {
+			return l
+		}
+
+		l = append(l, p)
+	}
+}
+
+func roles(vms ...string) (owner, other string) {
+	r := shard.Rank("target", vms)
+
+	return r[0], r[1]
+}
+
+// Guards against an online burst that waits for batch work of another daemon.
+func TestBurstTakesSlotsOfBatchWork(t *testing.T) {
+	Convey("Given batch work of another daemon in every slot", t, func() {
+		d := newDomain(t, "vm-1", "vm-2")
+		owner, other := roles("vm-1", "vm-2")
+
+		var n demands
+
+		begin := time.Now()
+		held := fill(d.slots[other], other, &n, sched.Batch)
+		So(len(held), ShouldBeGreaterThan, 4)
+		So(time.Since(begin), ShouldBeLessThan, 2*time.Second) // a demand that does not wait is answered at once
+
+		for _, p := range held {
+			go func() {
+				<-p.Preempted()
+				p.Release(sched.Observation{})
+			}()
+		}
+
+		start := time.Now()
+
+		for range 3 {
+			_, err := d.slots[owner].Acquire(context.Background(), "target", n.next(owner, sched.Online, "b"))
+			So(err, ShouldBeNil)
+		}
+
+		So(time.Since(start), ShouldBeLessThan, 500*time.Millisecond)
+		So(d.slots[owner].Load("target").Batch(), ShouldEqual, len(held)-3)
+	})
+}
+
+// Guards against requests that fail or wait for good when the owner dies with slots granted and demands waiting.
+func TestOwnerDies(t *testing.T) {
+	Convey("Given an owner that granted every slot and a demand that waits", t, func() {
+		d := newDomain(t, "vm-1", "vm-2")
+		owner, other := roles("vm-1", "vm-2")
+
+		var n demands
+
+		held := fill(d.slots[other], other, &n, sched.Online)
+		got := make(chan error, 1)
+
+		go func() {
+			_, err := d.slots[other].Acquire(context.Background(), "target", sched.NewDemand("waiting", other, "a", sched.Online, time.Now().Add(5*time.Second)))
+			got <- err
+		}()
+
+		time.Sleep(50 * time.Millisecond)
+		d.kill(owner)
+
+		Convey("the demand gets a slot of the local limit, which is small", func() {
+			So(<-got, ShouldBeNil)
+			So(len(fill(d.slots[other], other, &n, sched.Online)), ShouldBeLessThanOrEqualTo, 2)
+		})
+		Convey("once it is no longer a member, the new owner knows the slots in use", func() {
+			d.setPeers(other, other)
+			time.Sleep(500 * time.Millisecond)
+			So(d.slots[other].Load("target").Online(), ShouldBeGreaterThanOrEqualTo, len(held))
+
+			for _, p := range held {
+				p.Release(sched.Observation{})
+			}
+
+			So(d.slots[other].Load("target").Online(), ShouldBeLessThanOrEqualTo, 1)
+		})
+	})
+}
+
+// Guards against slots that are lost, or that stay granted, when two daemons believe that they own a target.
+func TestTwoOwners(t *testing.T) {
+	Convey("Given two daemons that each own the target in their own view", t, func() {
+		d := newDomain(t, "vm-1", "vm-2")
+		owner, other := roles("vm-1", "vm-2")
+		d.setPeers(other, other)
+
+		var n demands
+
+		a := fill(d.slots[owner], owner, &n, sched.Online)
+		b := fill(d.slots[other], other, &n, sched.Online)
+		So(a, ShouldNotBeEmpty)
+		So(b, ShouldNotBeEmpty)
+
+		Convey("the one that stays owner learns of all slots, and they return", func() {
+			d.setPeers(other, owner, other)
+			So(holdsWithin(2*time.Second, func() bool { return d.slots[owner].Load("target").Online() == len(a)+len(b) }), ShouldBeTrue)
+
+			for _, p := range append(a, b...) {
+				p.Release(sched.Observation{})
+			}
+
+			So(holdsWithin(2*time.Second, func() bool { return d.slots[owner].Load("target").Online() == 0 }), ShouldBeTrue)
+		})
+	})
+}
+
+// Guards against a caller who goes away and leaves a demand or a slot at the owner.
+func TestCallerGoesAwayWhileWaiting(t *testing.T) {
+	Convey("Given a demand that waits at another owner", t, func() {
+		d := newDomain(t, "vm-1", "vm-2")
+		owner, other := roles("vm-1", "vm-2")
+
+		var n demands
+
+		held := fill(d.slots[other], other, &n, sched.Online)
+		c, stop := context.WithCancel(context.Background())
+
+		time.AfterFunc(30*time.Millisecond, stop)
+
+		_, err := d.slots[other].Acquire(c, "target", n.next(other, sched.Online, "a"))
+		So(outcome.From(err).Effect(), ShouldEqual, outcome.NotRun)
+
+		for _, p := range held {
+			p.Release(sched.Observation{})
+		}
+
+		So(holdsWithin(time.Second, func() bool {
+			l := d.slots[owner].Load("target")
+
+			return l.Online() == 0 && l.Waiting() == 0
+		}), ShouldBeTrue)
+	})
+}
+
+// Guards against an account that floods a target from one daemon and leaves nothing to another account.
+func TestFloodLeavesAnotherAccountItsShare(t *testing.T) {
+	Convey("Given an account with a hundred demands", t, func() {
+		d := newDomain(t, "vm-1", "vm-2")
+		owner, other := roles("vm-1", "vm-2")
+
+		var n demands
+
+		for range 100 {
+			q := n.next(other, sched.Online, "flood")
+
+			go func() {
+				if p, err := d.slots[other].Acquire(context.Background(), "target", q); err == nil {
+					time.Sleep(20 * time.Millisecond)
+					p.Release(sched.NewObservation(0, 0, 20*time.Millisecond, 1, true))
+				}
+			}()
+		}
+
+		time.Sleep(10 * time.Millisecond)
+
+		start := time.Now()
+		_, err := d.slots[owner].Acquire(context.Background(), "target", n.next(owner, sched.Online, "few"))
+		So(err, ShouldBeNil)
+		So(time.Since(start), ShouldBeLessThan, 80*time.Millisecond)
+	})
+}
+
+func holdsWithin(d time.Duration, f func() bool) bool {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if f() {
+			return true
+		}
+	}
+
+	return f()
+}
+
+// Guards against a pool and slots that do not fit together.
+func TestPoolAsksTheOwner(t *testing.T) {
+	Convey("Given a pool in front of the slots", t, func() {
+		d := newDomain(t, "vm-1", "vm-2")
+		owner, other := roles("vm-1", "vm-2")
+		p := balance.New(balance.Owner{}, d.slots[other], shares{}, other+"/1", time.Now, rand.New(rand.NewPCG(1, 1)))
+		p.Set("m", []filter.Target{filter.NewTarget("target", "")})
+
+		v := filter.NewService(filter.ServiceSettings{Name: "m", Idempotent: true})
+		r := filter.NewBatchRequest(filter.Input{Service: "m"}, filter.NewAccount("a", 0), v, time.Now().Add(time.Hour))
+		s, err := p.Acquire(context.Background(), r, nil)
+		So(err, ShouldBeNil)
+		So(d.slots[owner].Load("target").Batch(), ShouldEqual, 1)
+		s.Release(filter.NewObservation(0, 0, time.Millisecond, 0, true))
+		So(holdsWithin(time.Second, func() bool { return d.slots[owner].Load("target").Batch() == 0 }), ShouldBeTrue)
+	})
+}
+
+type shares struct{}
+
+func (shares) SlowShare() float64  { return 0.3 }
+func (shares) SpillShare() float64 { return 0.2 }
--- a/filter/record.go
+++ b/filter/record.go
@@ -181,7 +181,7 @@
 		return journal.Complete{}, false
 	}
 
-	a, ok := ask(ctx, f.lookup, r.ServiceName(), r.ID())
+	a, ok := ask(ctx, f.lookup, r.TargetService(), r.ID())
 	if !ok {
 		return journal.Complete{}, false
 	}
