--- a/appender/appender_test.go
+++ b/appender/appender_test.go
@@ -127,6 +127,28 @@
 		Convey("a snapshot with a later number leaves it unknown", func() {
 			So(q.Restored(20, 2)[0].State(), ShouldEqual, appender.Unknown)
 		})
+		Convey("records of others in that group are queued again, before later ones", func() {
+			q := appender.New("vm", appender.Limits{})
+			t := q.Add(1, record())
+			other := q.Add(1, record(), record())
+			q.Next(now, 0, false)
+			q.Lost(now)
+			q.Abandon(t)
+			q.Add(1, record())
+
+			at := now.Add(time.Minute)
+			q.Next(at, 0, false)
+			q.Confirmed(9)
+
+			_, ok, _ := q.Next(at, 0, true)
+			So(ok, ShouldBeFalse) // nothing passes the group that is not settled
+			q.Replayed(2, 9, 2)
+
+			g, _, _ := q.Next(at, 9, true)
+			So(g.Number, ShouldEqual, 3)
+			So(g.Records, ShouldHaveLength, 3)
+			So(q.Replayed(3, 10, 3)[0].Ticket(), ShouldEqual, other)
+		})
 		Convey("without a snapshot a later number settles it", func() {
 			g, ok, _ := q.Next(now.Add(time.Minute), 0, false)
 			So(ok, ShouldBeTrue)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -211,7 +211,7 @@
 		"store": operator.DumpFunc(func() any {
 			return map[string]any{
 				"followed": d.store.Followed(), "stalled": d.store.Stalled(), "snapshots": d.store.Snapshots(),
-				"dropped": d.store.Dropped(), "rejected": d.store.Rejected(),
+				"dropped": d.store.Dropped(), "rejected": d.store.Rejected(), "skipped": d.store.Skipped(),
 			}
 		}),
 	}
--- a/journal/state.go
+++ b/journal/state.go
@@ -20,14 +20,40 @@
 
 // State returns the partition's state at its offset as sections. Restore takes them in the same order.
 func (p *Partition) State() ([]Section, error) {
+	s, work, err := p.copyState()
+	if err != nil {
+		return nil, err
+	}
+
+	// Lookups wait for the lock, so the copies are put in order without it.
+	slices.SortFunc(work, func(a, b Work) int {
+		return cmp.Or(strings.Compare(a.accept.Account, b.accept.Account), strings.Compare(a.accept.Key, b.accept.Key))
+	})
+
+	l := make([]Section, 0, len(s)+len(work))
+	l = append(l, s[:headSections]...)
+
+	for i := range work {
+		l = append(l, Section{Work: work[i].image()})
+	}
+
+	return append(l, s[headSections:]...), nil
+}
+
+// headSections is the number of sections before the first work.
+const headSections = 2
+
+// copyState returns the sections of everything but work, and a copy of the work.
+func (p *Partition) copyState() ([]Section, []Work, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
 	s := []Section{{Head: &Head{Offset: p.offset, AtMS: p.at.UnixMilli(), Evicted: p.evicted}}, {Writers: p.writerImages()}}
+	work := make([]Work, 0, len(p.work))
 
-	for _, k := range slices.SortedFunc(maps.Keys(p.work), compareKeys) {
-		if w := p.work[k]; !w.expired(p.at) {
-			s = append(s, Section{Work: w.image()})
+	for _, w := range p.work {
+		if !w.expired(p.at) {
+			work = append(work, *w)
 		}
 	}
 
@@ -35,14 +61,14 @@
 		if j := p.jobs[id]; !j.Expired(p.at) {
 			l, err := jobSections(j)
 			if err != nil {
-				return nil, err
+				return nil, nil, err
 			}
 
 			s = append(s, l...)
 		}
 	}
 
-	return s, nil
+	return s, work, nil
 }
 
 // Restore replaces the partition's state by the one in s, if that is at a higher offset, and reports whether it
@@ -214,10 +240,6 @@
 	}
 }
 
-func compareKeys(a, b Key) int {
-	return cmp.Or(strings.Compare(a.account, b.account), strings.Compare(a.key, b.key))
-}
-
 // Weight estimates the encoded size of a section, in bytes.
 func (s Section) Weight() int {
 	const overhead = 256
--- a/store/cell.go
+++ b/store/cell.go
@@ -320,6 +320,7 @@
 func (s *Store) replay(c *cell, e stream.Entry) {
 	g, err := s.codec.Decode(e.Data())
 	if err != nil {
+		s.skipped.Add(1)
 		c.part.Skip(e.Offset())
 	} else {
 		c.part.Apply(journal.NewEntry(e.Offset(), e.At(), g))
--- a/store/store.go
+++ b/store/store.go
@@ -62,6 +62,7 @@
 	dropped  atomic.Int64
 	rejected atomic.Int64
 	written  atomic.Int64
+	skipped  atomic.Int64
 }
 
 // New returns a store. Run it as an actor with Wait and Stop.
@@ -220,6 +221,9 @@
 // Rejected returns the number of submissions that the log can never take.
 func (s *Store) Rejected() int64 { return s.rejected.Load() }
 
+// Skipped returns the number of entries that could not be decoded and have no effect here.
+func (s *Store) Skipped() int64 { return s.skipped.Load() }
+
 // Flush waits until nothing is queued.
 func (s *Store) Flush(ctx context.Context) error {
 	for _, c := range s.cells {
