--- a/store/cell.go
+++ b/store/cell.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	opened  bool
 	users   int
+	used    time.Time // end of the last use
 	stop    context.CancelFunc
 	queue   *appender.Queue
 	waiting map[appender.Ticket]chan appender.Result
@@ -37,11 +38,12 @@
 // user is a cell that stays open until release.
 type user struct{ *cell }
 
-func (u user) release() {
+func (u user) release(now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 
 	u.users--
+	u.used = now
 }
 
 func (c *cell) isOpen() bool {
@@ -51,12 +53,12 @@
 	return c.opened
 }
 
-// close stops the loops of an open cell that nobody uses, and reports whether it did.
-func (c *cell) close() bool {
+// close stops the loops of an open cell that nobody has used since a time, and reports whether it did.
+func (c *cell) close(since time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	if !c.opened || c.users > 0 || c.queue.Pending() > 0 {
+	if !c.opened || c.users > 0 || c.used.After(since) || c.queue.Pending() > 0 {
 		return false
 	}
 
--- a/store/store.go
+++ b/store/store.go
@@ -42,12 +42,24 @@
 	parts      PartCodec
 	policy     snapshot.Policy
 	writes     func(partition int) bool
+	idle       time.Duration
+}
+
+// defaultIdle is the time without use after which a partition may be closed. A caller often looks work up right after
+// it waited for the partition, and must not find it empty then.
+const defaultIdle = 10 * time.Second
+
+// WithIdle returns options in which a partition may be closed after a time without use.
+func (o Options) WithIdle(d time.Duration) Options {
+	o.idle = d
+
+	return o
 }
 
 // NewOptions returns options: the writer's identity, unique per process; the number of partitions, at least
 // 1; limits of the appends to each partition; and the clock.
 func NewOptions(writer string, partitions int, l appender.Limits, clock func() time.Time) Options {
-	return Options{writer: writer, partitions: partitions, limits: l, clock: clock, writes: func(int) bool { return true }}
+	return Options{writer: writer, partitions: partitions, limits: l, clock: clock, writes: func(int) bool { return true }, idle: defaultIdle}
 }
 
 // Store follows partitions of the journal.
@@ -103,7 +115,7 @@
 // Open starts to follow a partition, if it is not followed yet.
 func (s *Store) Open(p int) { s.open(p) }
 
-// Close stops to follow a partition and frees its state, unless records are queued for it or a call waits for it. It
+// Close stops to follow a partition and frees its state, unless records are queued for it or it was used lately. It
 // reports whether the partition is closed. Any later use follows it again.
 func (s *Store) Close(p int) bool {
 	c := s.cells[p]
@@ -111,7 +123,7 @@
 	c.turn <- struct{}{}
 	defer func() { <-c.turn }()
 
-	if !c.close() {
+	if !c.close(s.options.clock().Add(-s.options.idle)) {
 		return !c.isOpen()
 	}
 
@@ -155,7 +167,7 @@
 
 func (s *Store) submit(ctx context.Context, settle time.Duration, p int, r []journal.Record) error {
 	c := s.use(p)
-	defer c.release()
+	defer func() { c.release(s.options.clock()) }()
 
 	t, done, ok := c.add(r)
 	if !ok {
@@ -205,7 +217,7 @@
 // work that stays accepted, so that it is found to have no completion later.
 func (s *Store) Offer(p int, r ...journal.Record) bool {
 	c := s.use(p)
-	defer c.release()
+	defer func() { c.release(s.options.clock()) }()
 
 	ok := c.offer(r)
 	if !ok {
@@ -247,7 +259,7 @@
 // Sync waits until everything that the log held when it was called is replayed here.
 func (s *Store) Sync(ctx context.Context, p int) error {
 	c := s.use(p)
-	defer c.release()
+	defer func() { c.release(s.options.clock()) }()
 
 	g, err := s.log.Read(ctx, c.name, c.part.Offset()+1, 0)
 	if err != nil && !errors.Is(err, stream.ErrDropped) {
@@ -269,7 +281,7 @@
 	p := s.Partition(k.String())
 
 	c := s.use(p)
-	defer c.release()
+	defer func() { c.release(s.options.clock()) }()
 
 	w, ok := c.part.Lookup(k)
 	if !ok {
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -20,7 +20,7 @@
 
 // start returns a running store and the function that stops it and waits for it.
 func start(l *memLog, writer string, limits appender.Limits) (*store.Store, func()) {
-	o := store.NewOptions(writer, 2, limits, time.Now).WithSnapshots(wire.Parts{}, retention)
+	o := store.NewOptions(writer, 2, limits, time.Now).WithSnapshots(wire.Parts{}, retention).WithIdle(0)
 	s := store.New(l, wire.Groups{}, o)
 
 	return s, func() {
@@ -197,6 +197,16 @@
 			So(ok, ShouldBeTrue)
 			So(submit(s, time.Second, accept("k2")), ShouldBeNil)
 		})
+		Convey("a partition that was used lately stays open", func() {
+			l := newLog()
+			s := store.New(l, wire.Groups{}, store.NewOptions("w", 2, appender.Limits{}, time.Now))
+			Reset(func() {
+				s.Stop()
+				_ = s.Wait()
+			})
+			So(submit(s, time.Second, accept("k")), ShouldBeNil)
+			So(s.Close(0), ShouldBeFalse)
+		})
 		Convey("a partition with queued records stays open", func() {
 			l.setFault(func(string, int) fault { return refused })
 			s.Enqueue(0, accept("queued"))
