--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -120,7 +120,8 @@
 	}
 
 	l := appender.NewLimits(0, 0, appendInterval).WithBurst(appendBurst)
-	o := store.NewOptions(d.holder, partitions, l, time.Now).WithSnapshots(wire.Parts{}, d.settings.LogRetention.Value()).
+	o := store.NewOptions(d.holder, partitions, l, time.Now).
+		WithSnapshots(wire.Parts{}, d.settings.LogRetention.Value()).
 		WithWrites(func(p int) bool { return d.follow.Writes(p) })
 	d.store = store.New(d.log, wire.Groups{}, o)
 	d.config = controller.NewConfig(d.log, wire.Versions{}, d.logger)
@@ -263,7 +264,7 @@
 		"store": operator.DumpFunc(func() any {
 			return map[string]any{
 				"followed": d.store.Followed(), "stalled": d.store.Stalled(), "snapshots": d.store.Snapshots(),
-				"dropped": d.store.Dropped(), "rejected": d.store.Rejected(),
+				"dropped": d.store.Dropped(), "rejected": d.store.Rejected(), "skipped": d.store.Skipped(),
 			}
 		}),
 	}
--- a/internal/cmd/cmd_publish.go
+++ b/internal/cmd/cmd_publish.go
@@ -27,6 +27,7 @@
 		b := f.Int64("based-on", -1, "version that the configuration was based on, 0 for none; the version in force when not given")
 		f.StringVar(&p.author, "author", userName(), "name of the operator")
 		f.BoolVar(&p.dry, "n", false, "show the difference and publish nothing")
+		f.BoolVar(&p.force, "force", false, "replace whatever is in force; only for a log that has lost every version")
 		f.BoolVar(&p.wait, "wait", false, "wait until every reachable daemon has adopted the version")
 		f.DurationVar(&p.timeout, "timeout", defaultAdoptWait, "longest time for -wait, and for finding a version in the stream whose append response was lost")
 		d := f.String("daemons", "", "operator addresses of the daemons for -wait, separated by commas; those of the platform's list when empty")
@@ -68,6 +69,7 @@
 	author   string
 	daemons  string
 	dry      bool
+	force    bool
 	wait     bool
 	timeout  time.Duration
 }
@@ -78,6 +80,11 @@
 		return err
 	}
 
+	if v.ledger.Broken() && !p.force {
+		return outcome.New(outcome.Conflict, outcome.NotRun,
+			"the log has dropped the version in force and no daemon has republished it; start one that has it, or use -force to replace it")
+	}
+
 	f := v.ledger.InForce()
 	if err := p.checkPartitions(f); err != nil {
 		return err
@@ -94,7 +101,7 @@
 		p.based = f.Offset()
 	}
 
-	if err := v.publish(ctx, p.client, config.Version{ID: newID(), BaseOn: p.based, Author: p.author, Text: p.text}, p.timeout); err != nil {
+	if err := v.publish(ctx, p.client, config.Version{ID: newID(), BaseOn: p.based, Author: p.author, Text: p.text, Force: p.force}, p.timeout); err != nil {
 		return err
 	}
 
