--- a/controller/config.go
+++ b/controller/config.go
@@ -70,7 +70,7 @@
 }
 
 // SetRepublisher lets the controller republish the version in force before a log that keeps records for a retention
-// time drops it. It is called before Run.
+// time drops it. A retention of 0 means that the log keeps them for good. It is called before Run.
 func (c *Config) SetRepublisher(r Republisher, retention time.Duration, clock func() time.Time) {
 	c.republish, c.retention, c.clock = r, retention, clock
 }
@@ -110,7 +110,7 @@
 const republishShare = 4
 
 func (c *Config) due() bool {
-	return c.republish != nil && !c.carried.IsZero() && c.clock().Sub(c.carried) >= c.retention/republishShare && c.republish.Elected()
+	return c.republish != nil && c.retention > 0 && !c.carried.IsZero() && c.clock().Sub(c.carried) >= c.retention/republishShare && c.republish.Elected()
 }
 
 func (c *Config) restate(ctx context.Context) {
--- a/controller/targets.go
+++ b/controller/targets.go
@@ -53,9 +53,10 @@
 	Machines(ctx context.Context) ([]Machine, error)
 }
 
-// TargetPool takes the targets that may get new work.
+// TargetPool takes the targets that may get new work, of this failure domain and of others.
 type TargetPool interface {
 	Set(service string, t []filter.Target)
+	SetRemote(service string, t []filter.Target)
 }
 
 // Departures knows the leaving targets from all sources, and whether this daemon is to read the list.
@@ -150,18 +151,21 @@
 		departing[i] = m.Leaving() || m.Target() && t.departures != nil && t.departures.Departing(m.Name(), m.Address())
 	}
 
-	for s, p := range t.pools(l, departing) {
-		t.pool.Set(s, p)
+	local, remote := t.pools(l, departing)
+
+	for s := range local {
+		t.pool.Set(s, local[s])
+		t.pool.SetRemote(s, remote[s])
 	}
 }
 
 // pools returns the targets of every service that was ever seen, so that the pool of one without targets is
 // emptied.
-func (t *Targets) pools(l []Machine, departing []bool) map[string][]filter.Target {
+func (t *Targets) pools(l []Machine, departing []bool) (local, remote map[string][]filter.Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	p := map[string][]filter.Target{}
+	local, remote = map[string][]filter.Target{}, map[string][]filter.Target{}
 
 	for i, m := range l {
 		k := m.Name() + "\x00" + m.Address()
@@ -169,20 +173,40 @@
 			t.leaving[k] = true
 		}
 
-		if m.Target() && m.Domain() == t.domain {
-			t.services[m.Service()] = true
+		if !m.Target() {
+			continue
+		}
 
-			if !t.leaving[k] {
-				p[m.Service()] = append(p[m.Service()], filter.NewTarget(m.Name(), m.Address()))
-			}
+		t.services[m.Service()] = true
+
+		switch {
+		case t.leaving[k]:
+		case m.Domain() == t.domain:
+			local[m.Service()] = append(local[m.Service()], filter.NewTarget(m.Name(), m.Address()))
+		default:
+			remote[m.Service()] = append(remote[m.Service()], filter.NewTarget(m.Name(), m.Address()))
 		}
 	}
 
 	for s := range t.services {
-		if _, ok := p[s]; !ok {
-			p[s] = nil
+		if _, ok := local[s]; !ok {
+			local[s] = nil
+		}
+	}
+
+	return local, remote
+}
+
+// Domain returns the failure domain of a target.
+func (t *Targets) Domain(target string) (string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	for _, m := range t.machines {
+		if m.Target() && m.Name() == target {
+			return m.Domain(), true
 		}
 	}
 
-	return p
+	return "", false
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,7 +8,7 @@
 	"errors"
 	"io"
 	"log"
-	mrand "math/rand/v2"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -19,7 +19,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/agategap/agategap/appender"
-	"github.com/agategap/agategap/balance"
 	"github.com/agategap/agategap/controller"
 	"github.com/agategap/agategap/drain"
 	"github.com/agategap/agategap/filter"
@@ -50,6 +49,7 @@
 	drain      *controller.Drain
 	finished   chan struct{}
 	finishOnce sync.Once
+	dumps      map[string]operator.Dumper // of parts that only some settings build
 }
 
 const (
@@ -68,7 +68,7 @@
 
 // New returns a daemon with open listeners, so that a bad address is reported before anything runs.
 func New(s settings.Daemon, z zerolog.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, logger: z.With().Str("vm", s.VM).Str("failure_domain", s.FailureDomain).Logger()}
+	d := &Daemon{dumps: map[string]operator.Dumper{}, settings: s, logger: z.With().Str("vm", s.VM).Str("failure_domain", s.FailureDomain).Logger()}
 	d.finished = make(chan struct{})
 	d.holder = s.VM + "/" + incarnation()
 
@@ -110,7 +110,7 @@
 	d.store = store.New(p, wire.Groups{}, o)
 	d.config = controller.NewConfig(p, wire.Versions{}, d.logger)
 
-	pool := balance.New(balance.LeastLoaded{}, mrand.New(mrand.NewPCG(uint64(time.Now().UnixNano()), 0))) //nolint:gosec // load balancing
+	pool := d.buildPool()
 	d.targets = controller.NewTargets(w, pool, d.settings.FailureDomain)
 
 	d.config.SetRepublisher(republisher{client: p, peers: d.peers, vm: d.settings.VM}, d.settings.LogRetention.Value(), time.Now)
@@ -202,7 +202,7 @@
 }
 
 func (d *Daemon) dumpers() map[string]operator.Dumper {
-	return map[string]operator.Dumper{
+	m := map[string]operator.Dumper{
 		"daemon": operator.DumpFunc(func() any {
 			return map[string]any{"vm": d.settings.VM, "holder": d.holder, "phase": d.drain.Phase().String(), "failure_domain": d.settings.FailureDomain}
 		}),
@@ -219,4 +219,8 @@
 			}
 		}),
 	}
+
+	maps.Copy(m, d.dumps)
+
+	return m
 }
--- a/member/list.go
+++ b/member/list.go
@@ -28,7 +28,7 @@
 	for _, v := range l {
 		switch {
 		case v.Target:
-			if v.Leaving && v.Domain == t.settings.Domain && !t.Departing(v.VM, v.Address) {
+			if v.Leaving && !t.Departing(v.VM, v.Address) {
 				t.Depart(now, v.VM, v.Address)
 			}
 		case v.Domain == t.settings.Domain:
