--- a/balance/pool.go
+++ b/balance/pool.go
@@ -129,7 +129,7 @@
 // Acquire returns a slot of a target that is not excluded. Another failure domain's target is used only when those of
 // this one cannot meet the deadline, and within the spill share.
 func (p *Pool) Acquire(ctx context.Context, r *filter.Request, exclude []string) (filter.Slot, error) {
-	h := p.shard(r.ServiceName())
+	h := p.shard(r.TargetService())
 	h.spill.Request(p.shares.SpillShare())
 
 	s, err := p.acquire(ctx, h, r, exclude, false)
@@ -150,7 +150,7 @@
 
 // acquire asks for a slot at one target after the other. Only the last one is waited for.
 func (p *Pool) acquire(ctx context.Context, h *poolShard, r *filter.Request, exclude []string, remote bool) (filter.Slot, error) {
-	err := error(errNoTarget(r.ServiceName()))
+	err := error(errNoTarget(r.TargetService()))
 
 	for n := range choices {
 		m := p.choose(h, r, exclude, remote)
--- /dev/null
+++ b/bench/control.go
@@ -0,0 +1,384 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/agategap/agategap/config"
+	"github.com/agategap/agategap/controller"
+	"github.com/agategap/agategap/daemon"
+	"github.com/agategap/agategap/platform"
+	"github.com/agategap/agategap/settings"
+	standplatform "github.com/agategap/agategap/standin/platform"
+	"github.com/agategap/agategap/wire"
+)
+
+// ControlFigure is the cost of control for one number of daemons in a failure domain.
+type ControlFigure struct {
+	daemons                  int
+	cores, megabytes, bytes  float64
+	removed, adopted, joined time.Duration
+}
+
+// Daemons returns the number of daemons.
+func (f ControlFigure) Daemons() int { return f.daemons }
+
+// Cores returns the processor time of an idle system per daemon and second, as a share of one core. The platform's
+// stand-in runs in the same process and is included.
+func (f ControlFigure) Cores() float64 { return f.cores }
+
+// Megabytes returns the live heap per daemon.
+func (f ControlFigure) Megabytes() float64 { return f.megabytes }
+
+// BytesPerSecond returns the messages that a daemon sends and receives, with their lengths, without TCP headers.
+func (f ControlFigure) BytesPerSecond() float64 { return f.bytes }
+
+// Removed returns the time from the kill of a daemon until it is in no view.
+func (f ControlFigure) Removed() time.Duration { return f.removed }
+
+// Adopted returns the time from the append of a configuration until it is in force everywhere.
+func (f ControlFigure) Adopted() time.Duration { return f.adopted }
+
+// Joined returns the time from the start of a daemon that does not reach the platform until it is ready.
+func (f ControlFigure) Joined() time.Duration { return f.joined }
+
+// Slope returns the growth of a value per daemon, by least squares.
+func Slope(l []ControlFigure, value func(f ControlFigure) float64) float64 {
+	var n, x, y, xx, xy float64
+
+	for _, f := range l {
+		d, v := float64(f.daemons), value(f)
+		n, x, y, xx, xy = n+1, x+d, y+v, xx+d*d, xy+d*v
+	}
+
+	if q := n*xx - x*x; q != 0 {
+		return (n*xy - x*y) / q
+	}
+
+	return 0
+}
+
+// Control measures each number of daemons in one failure domain on loopback, idle for d.
+func Control(ctx context.Context, daemons []int, d time.Duration) ([]ControlFigure, error) {
+	var l []ControlFigure
+
+	for _, n := range daemons {
+		f, err := control(ctx, n, d)
+		if err != nil {
+			return l, fmt.Errorf("%d daemons: %w", n, err)
+		}
+
+		l = append(l, f)
+	}
+
+	return l, nil
+}
+
+const (
+	controlDomain = "zone-1"
+	controlKey    = "0123456789abcdef"
+	controlWait   = 60 * time.Second
+	// controlTargets is the number of targets at the planned size, 600 in 8 failure domains.
+	controlTargets = 75
+	megabyte       = 1 << 20
+)
+
+// cluster is one failure domain without callers.
+type cluster struct {
+	ctx      context.Context //nolint:containedctx // the life of the cluster
+	platform *standplatform.Platform
+	address  string
+	daemons  []*daemon.Daemon
+	group    sync.WaitGroup
+	vms      []platform.VM
+}
+
+func control(ctx context.Context, n int, idle time.Duration) (ControlFigure, error) {
+	x, stop := context.WithCancel(ctx)
+	base := heap()
+	c := &cluster{ctx: x, platform: standplatform.New(standplatform.Options{})}
+
+	defer c.group.Wait()
+	defer stop()
+
+	if err := c.start(n); err != nil {
+		return ControlFigure{}, err
+	}
+
+	if err := c.wait(func() bool { return c.agree(n) && c.ready() }); err != nil {
+		return ControlFigure{}, err
+	}
+
+	f := ControlFigure{daemons: n}
+	c.pause(settle)
+
+	bytes, cpu, began := c.bytes(), processorTime(), time.Now()
+
+	c.pause(idle)
+
+	s := time.Since(began).Seconds() * float64(n)
+	f.cores = (processorTime() - cpu).Seconds() / s
+	f.bytes = float64(c.bytes()-bytes) / s
+	f.megabytes = (heap() - base) / float64(n) / megabyte
+
+	return f, c.events(&f)
+}
+
+// settle lets the exchanges of the start end before an idle system is measured.
+const settle = 12 * time.Second
+
+// events measures what takes effect everywhere.
+func (c *cluster) events(f *ControlFigure) error {
+	v, began := c.daemons[0].Version(), time.Now()
+	if err := c.publish(v); err != nil {
+		return err
+	}
+
+	if err := c.wait(func() bool { return c.all(func(d *daemon.Daemon) bool { return d.Version() > v }) }); err != nil {
+		return err
+	}
+
+	f.adopted, began = time.Since(began), time.Now()
+
+	d, err := c.join("127.0.0.1:1") // no platform answers there
+	if err != nil {
+		return err
+	}
+
+	if err := c.wait(func() bool { ok, _ := d.Ready(); return ok }); err != nil {
+		return err
+	}
+
+	f.joined = time.Since(began)
+
+	if err := c.wait(func() bool { return c.agree(f.daemons + 1) }); err != nil {
+		return err
+	}
+
+	d.Kill()
+
+	c.daemons, began = c.daemons[:f.daemons], time.Now()
+	err = c.wait(func() bool { return c.agree(f.daemons) })
+	f.removed = time.Since(began)
+
+	return err
+}
+
+func (c *cluster) start(n int) error {
+	l, err := (&net.ListenConfig{}).Listen(c.ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+
+	s := &http.Server{Handler: c.platform.Handler(), ReadHeaderTimeout: time.Second}
+
+	c.group.Go(func() { _ = s.Serve(l) })
+	c.group.Go(func() {
+		<-c.ctx.Done()
+
+		_ = s.Close()
+	})
+
+	c.address = l.Addr().String()
+
+	for i := range controlTargets {
+		// Nothing listens there: targets are not part of what is measured.
+		c.vms = append(c.vms, platform.VM{
+			Name: fmt.Sprintf("worker-%d", i), Address: fmt.Sprintf("127.0.0.1:%d", 1+i%9), FailureDomain: controlDomain,
+			Region: region, Role: platform.RoleTarget, Service: "signwriter", Kind: config.KindEngine, State: platform.StateLive,
+		})
+	}
+
+	if err := c.publish(0); err != nil {
+		return err
+	}
+
+	for range n {
+		if _, err := c.join(c.address); err != nil {
+			return err
+		}
+	}
+
+	c.platform.SetVMs(c.vms)
+
+	return nil
+}
+
+const region = "region-1"
+
+// join starts a daemon that uses a platform address.
+func (c *cluster) join(address string) (*daemon.Daemon, error) {
+	const listen = "127.0.0.1:0"
+
+	s := settings.Daemon{
+		VM: fmt.Sprintf("entry-%d", len(c.vms)), FailureDomain: controlDomain, Region: region, CallerAddress: listen,
+		OperatorAddress: listen, PeerAddress: listen, Platform: address, PeerKeys: []string{controlKey}, Policy: "owner",
+	}
+
+	for _, d := range c.daemons[:min(len(c.daemons), 3)] {
+		s.Peers = append(s.Peers, d.PeerAddress())
+	}
+
+	d, err := daemon.New(s, zerolog.Nop())
+	if err != nil {
+		return nil, err
+	}
+
+	c.daemons = append(c.daemons, d)
+	c.vms = append(c.vms, platform.VM{
+		Name: s.VM, Address: d.CallerAddress(), PeerAddress: d.PeerAddress(), FailureDomain: controlDomain, Region: region,
+		Role: platform.RoleEntry, State: platform.StateLive,
+	})
+	c.group.Go(func() { _ = d.Run(c.ctx) })
+
+	return d, nil
+}
+
+func (c *cluster) publish(base int64) error {
+	t, err := config.Format(config.Document{
+		Partitions: 16, //nolint:mnd // the default
+		Services:   []config.ServiceRecord{{Name: "signwriter", Kind: config.KindEngine, Idempotent: true}},
+	})
+	if err != nil {
+		return err
+	}
+
+	b, err := (wire.Versions{}).EncodeVersion(config.Version{
+		ID: fmt.Sprintf("%d-%d", base, rand.Uint64()), BaseOn: base, Author: "bench", Text: t, //nolint:gosec // an identifier
+	})
+	if err != nil {
+		return err
+	}
+
+	_, err = platform.New(c.address).Append(c.ctx, controller.ConfigStream, b)
+
+	return err
+}
+
+func (c *cluster) all(f func(d *daemon.Daemon) bool) bool {
+	for _, d := range c.daemons {
+		if !f(d) {
+			return false
+		}
+	}
+
+	return true
+}
+
+func (c *cluster) agree(n int) bool {
+	return c.all(func(d *daemon.Daemon) bool { return len(d.Membership().Peers()) == n })
+}
+
+func (c *cluster) ready() bool {
+	return c.all(func(d *daemon.Daemon) bool { ok, _ := d.Ready(); return ok })
+}
+
+// bytes returns the control traffic that all daemons sent and received. Each message is counted at the daemon that
+// answers, and has a sender and a receiver.
+func (c *cluster) bytes() int64 {
+	var n int64
+	for _, d := range c.daemons {
+		n += 2 * d.ControlBytes()
+	}
+
+	return n
+}
+
+func (c *cluster) pause(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-c.ctx.Done():
+	}
+}
+
+func (c *cluster) wait(f func() bool) error {
+	const interval = 5 * time.Millisecond
+
+	for end := time.Now().Add(controlWait); !f(); c.pause(interval) {
+		if c.ctx.Err() != nil {
+			return c.ctx.Err()
+		}
+
+		if time.Now().After(end) {
+			return errors.New("the daemons did not reach the expected state")
+		}
+	}
+
+	return nil
+}
+
+// heap returns the bytes of live objects.
+func heap() float64 {
+	runtime.GC()
+
+	var m runtime.MemStats
+
+	runtime.ReadMemStats(&m)
+
+	return float64(m.HeapAlloc)
+}
+
+// processorTime returns the time that this process used on all processors.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// Bounds of control per daemon.
+const (
+	boundCores = 0.029
+	boundMB    = 64
+	boundBytes = 2 << 10
+	boundAdopt = 16 // seconds
+	// controlIdle is the measured time when none is given.
+	controlIdle = 20 * time.Second
+)
+
+// controlSizes ends with the size of a failure domain in two years.
+var controlSizes = []int{4, 12, 24, 43}
+
+// controlScenario compares the cost of control at the largest size with its bounds.
+func controlScenario(ctx context.Context, o Options) ([]Result, error) {
+	l, err := Control(ctx, controlSizes, o.phaseOr(controlIdle))
+	if err != nil {
+		return nil, err
+	}
+
+	var r []Result
+
+	for _, v := range []struct {
+		name  string
+		bound float64
+		value func(f ControlFigure) float64
+	}{
+		{"cores_per_daemon", boundCores, ControlFigure.Cores},
+		{"heap_mb_per_daemon", boundMB, ControlFigure.Megabytes},
+		{"bytes_per_second_per_daemon", boundBytes, ControlFigure.BytesPerSecond},
+		{"config_seconds", boundAdopt, func(f ControlFigure) float64 { return f.adopted.Seconds() }},
+		{"join_seconds", controlWait.Seconds(), func(f ControlFigure) float64 { return f.joined.Seconds() }},
+		{"removal_seconds", controlWait.Seconds(), func(f ControlFigure) float64 { return f.removed.Seconds() }},
+	} {
+		var g []Figure
+		for _, f := range l {
+			g = append(g, NewFigure(fmt.Sprintf("at_%d", f.daemons), v.value(f)))
+		}
+
+		g = append(g, NewFigure("slope_per_daemon", Slope(l, v.value)))
+		r = append(r, NewResult("control", v.name, o, v.value(l[len(l)-1]), v.bound, true, g...))
+	}
+
+	return r, nil
+}
--- a/controller/config.go
+++ b/controller/config.go
@@ -159,37 +159,6 @@
 	return err
 }
 
-// ReplayVersions replays the configuration stream up to an offset; 0 means to its end.
-func ReplayVersions(ctx context.Context, l Log, c VersionCodec, until int64) (*config.Ledger, error) {
-	var g config.Ledger
-
-	for from := int64(1); ; {
-		p, err := l.Read(ctx, ConfigStream, from, 0)
-		if errors.Is(err, stream.ErrDropped) && p.Oldest() > from {
-			from = p.Oldest()
-			g.Restart(from)
-
-			continue
-		}
-
-		if err != nil {
-			return nil, err
-		}
-
-		for _, e := range p.Entries() {
-			from = e.Offset() + 1
-
-			if v, err := c.DecodeVersion(e.Data()); err == nil && (until == 0 || e.Offset() <= until) {
-				_, _ = g.Apply(e.Offset(), v)
-			}
-		}
-
-		if from >= p.Next() || until > 0 && from > until {
-			return &g, nil
-		}
-	}
-}
-
 // adopt makes the version in force visible to the filters.
 func (c *Config) adopt() {
 	// Two adoptions at a time, one from the log and one from a peer, must end with the higher version.
@@ -219,6 +188,7 @@
 func service(v config.ServiceRecord) filter.Service {
 	return filter.NewService(filter.ServiceSettings{
 		Name:          v.Name,
+		Targets:       v.Targets,
 		Plain:         v.Kind == config.KindPlain,
 		Idempotent:    v.Idempotent,
 		Record:        v.Record,
--- a/controller/slots_test.go
+++ b/controller/slots_test.go
@@ -40,7 +40,7 @@
 	for _, n := range vms {
 		d.peers[n] = vms
 		d.dead[n] = make(chan struct{})
-		s := controller.NewSlots(controller.NewPeer(n, n, "d", "r"), view{d, n}, d, settings{}, time.Now, false)
+		s := controller.NewSlots(controller.NewPeer(n, n, "d", "r"), view{d, n}, d, slotSettings{}, time.Now, false)
 		d.slots[n] = s
 
 		go func() { _ = s.Run(ctx) }()
@@ -119,9 +119,9 @@
 	return l
 }
 
-type settings struct{}
+type slotSettings struct{}
 
-func (settings) AtRiskShare() float64 { return 0 }
+func (slotSettings) AtRiskShare() float64 { return 0 }
 
 // demands makes demands with their own identifiers.
 type demands struct{ n int }
@@ -237,13 +237,13 @@
 
 		Convey("the one that stays owner learns of all slots, and they return", func() {
 			d.setPeers(other, owner, other)
-			So(within(2*time.Second, func() bool { return d.slots[owner].Load("target").Online() == len(a)+len(b) }), ShouldBeTrue)
+			So(holdsWithin(2*time.Second, func() bool { return d.slots[owner].Load("target").Online() == len(a)+len(b) }), ShouldBeTrue)
 
 			for _, p := range append(a, b...) {
 				p.Release(sched.Observation{})
 			}
 
-			So(within(2*time.Second, func() bool { return d.slots[owner].Load("target").Online() == 0 }), ShouldBeTrue)
+			So(holdsWithin(2*time.Second, func() bool { return d.slots[owner].Load("target").Online() == 0 }), ShouldBeTrue)
 		})
 	})
 }
@@ -268,7 +268,7 @@
 			p.Release(sched.Observation{})
 		}
 
-		So(within(time.Second, func() bool {
+		So(holdsWithin(time.Second, func() bool {
 			l := d.slots[owner].Load("target")
 
 			return l.Online() == 0 && l.Waiting() == 0
@@ -304,7 +304,7 @@
 	})
 }
 
-func within(d time.Duration, f func() bool) bool {
+func holdsWithin(d time.Duration, f func() bool) bool {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if f() {
 			return true
@@ -328,7 +328,7 @@
 		So(err, ShouldBeNil)
 		So(d.slots[owner].Load("target").Batch(), ShouldEqual, 1)
 		s.Release(filter.NewObservation(0, 0, time.Millisecond, 0, true))
-		So(within(time.Second, func() bool { return d.slots[owner].Load("target").Batch() == 0 }), ShouldBeTrue)
+		So(holdsWithin(time.Second, func() bool { return d.slots[owner].Load("target").Batch() == 0 }), ShouldBeTrue)
 	})
 }
 
--- a/controller/states.go
+++ b/controller/states.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/agategap/agategap/filter"
 )
 
 // TargetState asks a target whether it is leaving.
@@ -11,6 +13,11 @@
 	Leaving(ctx context.Context, address string) (bool, error)
 }
 
+// ServiceKinds knows the services.
+type ServiceKinds interface {
+	Service(name string) (filter.Service, bool)
+}
+
 // Owner says which keys are this daemon's, and takes the word of targets that are leaving.
 type Owner interface {
 	Owns(key string) bool
@@ -25,18 +32,20 @@
 	stateTimeout  = time.Second
 )
 
-// States asks the targets that this daemon owns whether they are leaving. What it learns passes to the others by
+// States asks the engines that this daemon owns whether they are leaving. Plain services are not asked: they have
+// no such call, and any call may have an effect. What it learns passes to the others by
 // gossip, so one daemon per target asks.
 type States struct {
 	targets *Targets
 	state   TargetState
 	owner   Owner
+	kinds   ServiceKinds
 	domain  string
 }
 
 // NewStates returns the controller of a failure domain.
-func NewStates(t *Targets, s TargetState, o Owner, domain string) *States {
-	return &States{targets: t, state: s, owner: o, domain: domain}
+func NewStates(t *Targets, s TargetState, o Owner, k ServiceKinds, domain string) *States {
+	return &States{targets: t, state: s, owner: o, kinds: k, domain: domain}
 }
 
 // Run asks until ctx ends.
@@ -60,8 +69,12 @@
 			continue
 		}
 
+		if k, ok := s.kinds.Service(m.Service()); !ok || k.Plain() {
+			continue
+		}
+
 		g.Go(func() {
-			// No answer says nothing: plain services have no such question.
+			// No answer says nothing.
 			if l, err := s.state.Leaving(x, m.Address()); err == nil && l {
 				s.owner.Depart(m.Name(), m.Address())
 			}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -50,6 +50,7 @@
 	finished   chan struct{}
 	finishOnce sync.Once
 	dumps      map[string]operator.Dumper // of parts that only some settings build
+	log        *watchedLog
 }
 
 const (
@@ -105,10 +106,11 @@
 	d.metrics = newMetrics()
 	k := peer.NewKeys(d.settings.PeerKeys)
 	d.server, d.client = peer.NewServer(k), peer.NewClient(k)
+	d.log = &watchedLog{log: p}
 	l := appender.NewLimits(0, 0, appendInterval).WithBurst(appendBurst)
 	o := store.NewOptions(d.holder, partitions, l, time.Now).WithSnapshots(wire.Parts{}, d.settings.LogRetention.Value())
-	d.store = store.New(p, wire.Groups{}, o)
-	d.config = controller.NewConfig(p, wire.Versions{}, d.logger)
+	d.store = store.New(d.log, wire.Groups{}, o)
+	d.config = controller.NewConfig(d.log, wire.Versions{}, d.logger)
 
 	pool := d.buildPool()
 	d.targets = controller.NewTargets(w, pool, d.settings.FailureDomain)
@@ -212,6 +214,8 @@
 			return map[string]any{"version": f.Offset(), "author": f.Version().Author, "based_on": f.Version().BaseOn}
 		}),
 		"membership": operator.DumpFunc(d.dumpMembership),
+		"jobs":       operator.DumpFunc(d.dumpJobs),
+		"log":        operator.DumpFunc(d.log.dump),
 		"store": operator.DumpFunc(func() any {
 			return map[string]any{
 				"followed": d.store.Followed(), "stalled": d.store.Stalled(), "snapshots": d.store.Snapshots(),
--- a/filter/accepted.go
+++ b/filter/accepted.go
@@ -25,7 +25,7 @@
 		return c
 	}
 
-	if a, ok := ask(ctx, l, s.Name(), w.Claim()); ok {
+	if a, ok := ask(ctx, l, s.Targets(), w.Claim()); ok {
 		c.Effect, c.Status, c.ContentType, c.Body = journal.Done, a.Status(), a.ContentType(), a.Body()
 	}
 
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -48,6 +48,7 @@
 	in     *bufio.Reader
 	counts *counts
 	heard  atomic.Int64 // time of the last message, Unix nanoseconds
+	last   int          // bytes of the part read last
 	mu     sync.Mutex
 }
 
@@ -105,7 +106,8 @@
 		return err
 	}
 
-	f.counts.in.Add(int64(n) + lengthBytes)
+	f.last = int(n) + lengthBytes
+	f.counts.in.Add(int64(f.last))
 
 	if v == nil {
 		return nil
@@ -121,17 +123,17 @@
 }
 
 // write sends a head and a body in one piece.
-func (f *frames) write(h head, body any) error {
+func (f *frames) write(h head, body any) (int, error) {
 	var p []byte
 
 	for _, v := range []any{&h, body} {
 		b, err := wire.Marshal(v)
 		if err != nil {
-			return err
+			return 0, err
 		}
 
 		if len(b) > MaxFrameBytes {
-			return fmt.Errorf("%w: %d bytes, at most %d", errOversized, len(b), MaxFrameBytes)
+			return 0, fmt.Errorf("%w: %d bytes, at most %d", errOversized, len(b), MaxFrameBytes)
 		}
 
 		p = binary.BigEndian.AppendUint32(p, uint32(len(b))) //nolint:gosec // bounded above
@@ -150,32 +152,48 @@
 		_ = f.conn.Close() // a part of the message may have left
 	}
 
-	return err
+	return n, err
 }
 
 // serverCodec is the net/rpc codec of a server.
-type serverCodec struct{ *frames }
+type serverCodec struct {
+	*frames
+
+	method string // of the request that is being read
+	head   int    // bytes of its head
+}
 
-func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
+func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
 	h, err := c.readHead(idleTimeout)
 	r.ServiceMethod, r.Seq = h.Method, h.Seq
+	c.method, c.head = h.Method, c.last
+
+	return err
+}
+
+func (c *serverCodec) ReadRequestBody(v any) error {
+	err := c.read(v, MaxFrameBytes)
+	c.counts.add(c.method, int64(c.head+c.last))
 
 	return err
 }
 
-func (c serverCodec) ReadRequestBody(v any) error { return c.read(v, MaxFrameBytes) }
+func (c *serverCodec) WriteResponse(r *rpc.Response, v any) error {
+	n, err := c.write(head{Seq: r.Seq, Error: r.Error}, v)
+	c.counts.add(r.ServiceMethod, int64(n))
 
-func (c serverCodec) WriteResponse(r *rpc.Response, v any) error {
-	return c.write(head{Seq: r.Seq, Error: r.Error}, v)
+	return err
 }
 
-func (c serverCodec) Close() error { return c.conn.Close() }
+func (c *serverCodec) Close() error { return c.conn.Close() }
 
 // clientCodec is the net/rpc codec of a client.
 type clientCodec struct{ *frames }
 
 func (c clientCodec) WriteRequest(r *rpc.Request, v any) error {
-	return c.write(head{Method: r.ServiceMethod, Seq: r.Seq}, v)
+	_, err := c.write(head{Method: r.ServiceMethod, Seq: r.Seq}, v)
+
+	return err
 }
 
 // ReadResponseHeader waits without a deadline: each call has its own.
--- a/peer/server.go
+++ b/peer/server.go
@@ -42,7 +42,17 @@
 }
 
 // Register makes the methods of v callable as NAME.METHOD, in the form that net/rpc asks for.
-func (s *Server) Register(name string, v any) error { return s.rpc.RegisterName(name, v) }
+func (s *Server) Register(name string, v any) error {
+	s.counts.mu.Lock()
+	if s.counts.services == nil {
+		s.counts.services = map[string]int64{}
+	}
+
+	s.counts.services[name] = 0
+	s.counts.mu.Unlock()
+
+	return s.rpc.RegisterName(name, v)
+}
 
 // Serve accepts connections until Close.
 func (s *Server) Serve(l net.Listener) error {
@@ -112,7 +122,7 @@
 	}
 
 	s.counts.accepted.Add(1)
-	s.rpc.ServeCodec(serverCodec{newFrames(c, &s.counts)})
+	s.rpc.ServeCodec(&serverCodec{frames: newFrames(c, &s.counts)})
 }
 
 // add reports whether the bounds allow another connection.
