--- a/controller/membership.go
+++ b/controller/membership.go
@@ -33,8 +33,8 @@
 }
 
 const (
-	// gossipInterval is a quarter of the time between two probes.
-	gossipInterval = 125 * time.Millisecond
+	// gossipTick is a quarter of the time between two probes.
+	gossipTick = 125 * time.Millisecond
 	// fetchDelay gives the platform time to deliver a version or a list before a peer is asked, so that the
 	// ordinary case costs nothing.
 	fetchDelay = time.Second
@@ -91,7 +91,7 @@
 
 // Run sends what is due until ctx ends, and then waits for the calls in flight.
 func (m *Membership) Run(ctx context.Context) error {
-	t := time.NewTicker(gossipInterval)
+	t := time.NewTicker(gossipTick)
 	defer t.Stop()
 
 	start := time.Now()
--- a/controller/message.go
+++ b/controller/message.go
@@ -194,6 +194,7 @@
 	Region      string
 	Service     string
 	Target      bool
+	Plain       bool
 	Leaving     bool
 }
 
@@ -216,7 +217,7 @@
 	for i, m := range l {
 		r[i] = MachineRecord{
 			Name: m.name, Address: m.address, PeerAddress: m.peerAddress, Domain: m.domain, Region: m.region,
-			Service: m.service, Target: m.target, Leaving: m.leaving,
+			Service: m.service, Target: m.target, Plain: m.plain, Leaving: m.leaving,
 		}
 	}
 
@@ -228,7 +229,7 @@
 	for i, m := range l {
 		r[i] = Machine{
 			name: m.Name, address: m.Address, peerAddress: m.PeerAddress, domain: m.Domain, region: m.Region,
-			service: m.Service, target: m.Target, leaving: m.Leaving,
+			service: m.Service, target: m.Target, plain: m.Plain, leaving: m.Leaving,
 		}
 	}
 
--- a/controller/states.go
+++ b/controller/states.go
@@ -4,8 +4,6 @@
 	"context"
 	"sync"
 	"time"
-
-	"github.com/agategap/agategap/filter"
 )
 
 // TargetState asks a target whether it is leaving.
@@ -13,11 +11,6 @@
 	Leaving(ctx context.Context, address string) (bool, error)
 }
 
-// ServiceKinds knows the services.
-type ServiceKinds interface {
-	Service(name string) (filter.Service, bool)
-}
-
 // Owner says which keys are this daemon's, and takes the word of targets that are leaving.
 type Owner interface {
 	Owns(key string) bool
@@ -32,20 +25,18 @@
 	stateTimeout  = time.Second
 )
 
-// States asks the engines that this daemon owns whether they are leaving. Plain services are not asked: they have
-// no such call, and any call may have an effect. What it learns passes to the others by
+// States asks the engines that this daemon owns whether they are leaving. What it learns passes to the others by
 // gossip, so one daemon per target asks.
 type States struct {
 	targets *Targets
 	state   TargetState
 	owner   Owner
-	kinds   ServiceKinds
 	domain  string
 }
 
 // NewStates returns the controller of a failure domain.
-func NewStates(t *Targets, s TargetState, o Owner, k ServiceKinds, domain string) *States {
-	return &States{targets: t, state: s, owner: o, kinds: k, domain: domain}
+func NewStates(t *Targets, s TargetState, o Owner, domain string) *States {
+	return &States{targets: t, state: s, owner: o, domain: domain}
 }
 
 // Run asks until ctx ends.
@@ -65,11 +56,7 @@
 	var g sync.WaitGroup
 
 	for _, m := range s.targets.Machines() {
-		if !m.Target() || m.Domain() != s.domain || !s.owner.Owns(m.Name()) || s.owner.Departing(m.Name(), m.Address()) {
-			continue
-		}
-
-		if k, ok := s.kinds.Service(m.Service()); !ok || k.Plain() {
+		if !m.Target() || m.Plain() || m.Domain() != s.domain || !s.owner.Owns(m.Name()) || s.owner.Departing(m.Name(), m.Address()) {
 			continue
 		}
 
--- a/controller/system_test.go
+++ b/controller/system_test.go
@@ -98,7 +98,7 @@
 // system has daemons that share a log and targets.
 type system struct {
 	log      *memoryLog
-	settings *settings
+	settings *fixedSettings
 	targets  *targets
 	skew     atomic.Int64
 
@@ -145,14 +145,7 @@
 	holder := vm + "/" + fmt.Sprint(time.Now().UnixNano())
 	n.store = store.New(n.log, wire.Groups{}, store.NewOptions(holder, partitions, appender.NewLimits(0, 0, time.Millisecond), time.Now))
 
-	s.mu.Lock()
-	s.peers = append(s.peers, controller.NewPeer(vm, vm, domain, "region"))
-	s.nodes[vm] = n
-	s.mu.Unlock()
-
-	f := controller.NewFollow(s, n.store, vm, partitions)
-	f.Refresh()
-
+	f := controller.NewFollow(s, n.store, vm, partitions, s.clock)
 	c := counter{}
 	routes := controller.NewRoutes(f, n, c)
 	local := controller.NewJournalService(n.store, partitions, c)
@@ -160,10 +153,17 @@
 	n.services = map[string]any{"Journal": local, "Job": grants}
 	n.journal = controller.NewJournal(routes, local, n.store, c)
 	n.jobs = controller.NewJobs(n.journal, routes, grants, s.settings)
-	n.runner = controller.NewRunner(controller.NewRunnerParts(n.jobs, s.targets, s.targets, holder, domain, s.clock, c, zerolog.Nop()))
+	n.runner = controller.NewRunner(controller.NewRunnerParts(n.jobs, controller.Dispatched(s.targets), s.targets, holder, domain, s.clock, c, zerolog.Nop()))
 	ids := func() string { return fmt.Sprintf("%s-%d", vm, time.Now().UnixNano()) }
 	a := controller.NewAccepted(controller.NewAcceptedParts(n.journal, s.settings, s.targets, s.targets, holder, ids, s.clock, c, zerolog.Nop()))
 
+	s.mu.Lock()
+	s.peers = append(s.peers, controller.NewPeer(vm, vm, domain, "region"))
+	s.nodes[vm] = n
+	s.mu.Unlock()
+
+	f.Refresh()
+
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	actors := []func(context.Context) error{f.Run, n.journal.Run}
@@ -309,12 +309,12 @@
 	t.do = do
 }
 
-// settings are a configuration with the services "text", which may be repeated, and "bill", which may not.
-type settings struct {
+// fixedSettings are a configuration with the services "text", which may be repeated, and "bill", which may not.
+type fixedSettings struct {
 	ledger config.Ledger
 }
 
-func newSettings() *settings {
+func newSettings() *fixedSettings {
 	t, err := config.Format(config.Document{
 		Batch: config.BatchSettings{
 			ShardItems: 5, MaxAttempts: 3, Lease: tomlfile.NewDuration(2 * time.Second),
@@ -326,7 +326,7 @@
 		panic(err)
 	}
 
-	s := &settings{}
+	s := &fixedSettings{}
 	if _, err := s.ledger.Apply(1, config.Version{Text: t}); err != nil {
 		panic(err)
 	}
@@ -334,9 +334,9 @@
 	return s
 }
 
-func (s *settings) InForce() config.InForce { return s.ledger.InForce() }
+func (s *fixedSettings) InForce() config.InForce { return s.ledger.InForce() }
 
-func (s *settings) Service(name string) (filter.Service, bool) {
+func (s *fixedSettings) Service(name string) (filter.Service, bool) {
 	for _, v := range s.InForce().Document().Services {
 		if v.Name == name {
 			return filter.NewService(filter.ServiceSettings{
--- a/controller/targets.go
+++ b/controller/targets.go
@@ -11,7 +11,7 @@
 // Machine is an entry of the platform's list of VMs as the controllers need it.
 type Machine struct {
 	name, address, peerAddress, domain, region, service string
-	target, leaving                                     bool
+	target, plain, leaving                              bool
 }
 
 // NewTargetMachine returns a VM that runs a target of a service.
@@ -19,6 +19,17 @@
 	return Machine{name: name, address: address, domain: domain, region: region, service: service, target: true, leaving: leaving}
 }
 
+// AsPlain returns a copy of a target that runs a plain service.
+func (m Machine) AsPlain() Machine {
+	m.plain = true
+
+	return m
+}
+
+// Plain reports whether a target runs a plain service. Nothing is sent to it but callers' requests, as any call may
+// have an effect.
+func (m Machine) Plain() bool { return m.plain }
+
 // NewEntryMachine returns a VM that runs a daemon.
 func NewEntryMachine(name, peerAddress, domain, region string, leaving bool) Machine {
 	return Machine{name: name, peerAddress: peerAddress, domain: domain, region: region, leaving: leaving}
@@ -151,21 +162,20 @@
 		departing[i] = m.Leaving() || m.Target() && t.departures != nil && t.departures.Departing(m.Name(), m.Address())
 	}
 
-	local, remote := t.pools(l, departing)
-
-	for s := range local {
-		t.pool.Set(s, local[s])
+	own, remote := t.pools(l, departing)
+	for s, p := range own {
+		t.pool.Set(s, p)
 		t.pool.SetRemote(s, remote[s])
 	}
 }
 
-// pools returns the targets of every service that was ever seen, so that the pool of one without targets is
-// emptied.
-func (t *Targets) pools(l []Machine, departing []bool) (local, remote map[string][]filter.Target) {
+// pools returns the targets of every service that was ever seen, in this failure domain and in others, so that the
+// pool of one without targets is emptied.
+func (t *Targets) pools(l []Machine, departing []bool) (own, remote map[string][]filter.Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	local, remote = map[string][]filter.Target{}, map[string][]filter.Target{}
+	own, remote = map[string][]filter.Target{}, map[string][]filter.Target{}
 
 	for i, m := range l {
 		k := m.Name() + "\x00" + m.Address()
@@ -178,31 +188,29 @@
 		}
 
 		t.services[m.Service()] = true
+		v := filter.NewTarget(m.Name(), m.Address())
 
 		switch {
 		case t.leaving[k]:
 		case m.Domain() == t.domain:
-			local[m.Service()] = append(local[m.Service()], filter.NewTarget(m.Name(), m.Address()))
+			own[m.Service()] = append(own[m.Service()], v)
 		default:
-			remote[m.Service()] = append(remote[m.Service()], filter.NewTarget(m.Name(), m.Address()))
+			remote[m.Service()] = append(remote[m.Service()], v)
 		}
 	}
 
 	for s := range t.services {
-		if _, ok := local[s]; !ok {
-			local[s] = nil
+		if _, ok := own[s]; !ok {
+			own[s] = nil
 		}
 	}
 
-	return local, remote
+	return own, remote
 }
 
 // Domain returns the failure domain of a target.
 func (t *Targets) Domain(target string) (string, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-
-	for _, m := range t.machines {
+	for _, m := range t.Machines() {
 		if m.Target() && m.Name() == target {
 			return m.Domain(), true
 		}
--- a/daemon/adapt.go
+++ b/daemon/adapt.go
@@ -28,7 +28,12 @@
 		leaving := v.State == platform.StateLeaving
 
 		if v.Role == platform.RoleTarget {
-			r = append(r, controller.NewTargetMachine(v.Name, v.Address, v.FailureDomain, v.Region, v.Service, leaving))
+			m := controller.NewTargetMachine(v.Name, v.Address, v.FailureDomain, v.Region, v.Service, leaving)
+			if v.Kind == config.KindPlain {
+				m = m.AsPlain()
+			}
+
+			r = append(r, m)
 		} else {
 			r = append(r, controller.NewEntryMachine(v.Name, v.PeerAddress, v.FailureDomain, v.Region, leaving))
 		}
--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -64,7 +64,7 @@
 	_ = d.server.Register("Config", configService{d.membership})
 
 	d.actor(d.membership.Run)
-	d.actor(controller.NewStates(d.targets, c, d.membership, d.config, d.settings.FailureDomain).Run)
+	d.actor(controller.NewStates(d.targets, c, d.membership, d.settings.FailureDomain).Run)
 }
 
 func validAddress(a string) bool {
--- a/daemon/work.go
+++ b/daemon/work.go
@@ -23,7 +23,7 @@
 // buildWork builds the controllers of accepted work and jobs, registers their services and adds them as actors. It
 // precedes the actors that they need when they stop, as actors are stopped in the order in which they are added.
 func (d *Daemon) buildWork(l controller.PeerList, r filter.Router, c *target.Client) work {
-	f := controller.NewFollow(l, d.store, d.settings.VM, partitions)
+	f := controller.NewFollow(l, d.store, d.settings.VM, partitions, time.Now)
 	routes := controller.NewRoutes(f, caller{client: d.client}, d.metrics)
 	journals := controller.NewJournalService(d.store, partitions, d.metrics)
 	grants := controller.NewJobService(d.store, d.config, f, time.Now, d.metrics)
@@ -37,15 +37,17 @@
 		WithRetries(filter.NewRetries(slotBounds{config: d.config}, uint64(time.Now().UnixNano()))) //nolint:gosec // spreads retries
 	jobs := controller.NewJobs(j, routes, grants, d.config)
 	runner := controller.NewRunner(controller.NewRunnerParts(
-		jobs, filter.BatchChain(p, c), look, d.holder, d.settings.FailureDomain, time.Now, d.metrics, d.logger))
+		jobs, filter.BatchChain(p, controller.Dispatched(c)), look, d.holder, d.settings.FailureDomain, time.Now, d.metrics, d.logger))
 	accepted := controller.NewAccepted(controller.NewAcceptedParts(
 		j, d.config, filter.AcceptedChain(p, c), look, d.holder, newClaim, time.Now, d.metrics, d.logger))
 
 	d.stopFirst(runner.Run)
 	d.actor(accepted.Run)
-	d.actor(j.Run)
+	d.stopFirst(j.Run)
 	d.actor(f.Run)
 
+	d.follow = f
+
 	return work{parts: p, journal: j, jobs: jobs, runner: runner}
 }
 
