--- a/controller/follow.go
+++ b/controller/follow.go
@@ -16,10 +16,10 @@
 	Peers() []Peer
 }
 
-// Opener starts and stops to follow partitions.
+// Opener follows partitions.
 type Opener interface {
 	Open(p int)
-	// Close stops to follow a partition that nobody uses, and reports whether it is closed.
+	// Close stops to follow a partition that nobody uses, and reports whether it did.
 	Close(p int) bool
 	Followed() []int
 }
@@ -27,15 +27,17 @@
 // followInterval is the time between two comparisons of the peers with the partitions followed.
 const followInterval = 200 * time.Millisecond
 
-// closeInterval is the time between two closings of partitions that fell to other daemons. A daemon that reached no
-// follower has opened some for itself and may need them again soon.
-const closeInterval = time.Minute
+// closeDelay is how long a partition that fell to other daemons stays open here. They may not have replayed it yet, and
+// a daemon that was missing for a moment takes its partitions back.
+const closeDelay = time.Minute
 
 // Follow opens the partitions that this daemon follows and tells which daemons follow a partition.
 type Follow struct {
 	peers PeerList
 	store Opener
 	self  string
+	clock func() time.Time
+	extra map[int]time.Time // since when partitions are open that others follow; used by Refresh only
 
 	mu    sync.Mutex
 	table [][]Peer
@@ -43,30 +45,22 @@
 }
 
 // NewFollow returns the controller of the daemon of VM self.
-func NewFollow(l PeerList, o Opener, self string, partitions int) *Follow {
-	return &Follow{peers: l, store: o, self: self, table: make([][]Peer, partitions)}
+func NewFollow(l PeerList, o Opener, self string, partitions int, clock func() time.Time) *Follow {
+	return &Follow{peers: l, store: o, self: self, clock: clock, extra: map[int]time.Time{}, table: make([][]Peer, partitions)}
 }
 
 // Run follows the membership until ctx ends.
 func (f *Follow) Run(ctx context.Context) error {
-	next := time.Now().Add(closeInterval)
-
 	for ctx.Err() == nil {
 		f.Refresh()
-
-		if now := time.Now(); now.After(next) {
-			next = now.Add(closeInterval)
-
-			f.CloseOthers()
-		}
-
 		sleep(ctx, followInterval)
 	}
 
 	return nil
 }
 
-// Refresh computes the followers from the current peers and opens the partitions that fall to this daemon.
+// Refresh computes the followers from the current peers, opens the partitions that fall to this daemon and closes
+// those that have been others' for a while. One caller at a time uses it.
 func (f *Follow) Refresh() {
 	l := slices.Clone(f.peers.Peers())
 	slices.SortFunc(l, func(a, b Peer) int { return strings.Compare(a.VM(), b.VM()) })
@@ -74,13 +68,27 @@
 	for _, p := range f.update(l) {
 		f.store.Open(p)
 	}
+
+	f.closeExtra()
 }
 
-// CloseOthers closes the partitions that are followed here and fall to other daemons, unless they are in use.
-func (f *Follow) CloseOthers() {
+func (f *Follow) closeExtra() {
+	now := f.clock()
+
 	for _, p := range f.store.Followed() {
-		if len(f.Followers(p)) > 0 && !f.Follows(p) {
-			f.store.Close(p)
+		if f.Follows(p) || len(f.Followers(p)) == 0 {
+			delete(f.extra, p)
+
+			continue
+		}
+
+		t, ok := f.extra[p]
+		if !ok {
+			f.extra[p] = now
+		}
+
+		if ok && now.Sub(t) > closeDelay && f.store.Close(p) {
+			delete(f.extra, p)
 		}
 	}
 }
--- a/controller/work_test.go
+++ b/controller/work_test.go
@@ -35,7 +35,7 @@
 	return r
 }
 
-func within(d time.Duration) context.Context {
+func limited(d time.Duration) context.Context {
 	x, stop := context.WithTimeout(context.Background(), d)
 	time.AfterFunc(d, stop)
 
@@ -59,7 +59,7 @@
 			for range 10 {
 				s.pass(2 * time.Second)
 
-				if w, err := b.journal.Await(within(time.Second), k); err == nil {
+				if w, err := b.journal.Await(limited(time.Second), k); err == nil {
 					return w.Result()
 				}
 			}
@@ -69,7 +69,7 @@
 
 		Convey("an asynchronous request whose daemon is lost right after the acknowledgement runs once", func() {
 			k := journal.NewKey("a", "async")
-			_, err := a.journal.Submit(within(5*time.Second), k, accept(k, "bill", true, "", "")...)
+			_, err := a.journal.Submit(limited(5*time.Second), k, accept(k, "bill", true, "", "")...)
 			So(err, ShouldBeNil)
 			lose()
 
@@ -81,7 +81,7 @@
 		})
 		Convey("work that may run again is run by another daemon", func() {
 			k := journal.NewKey("a", "again")
-			_, err := a.journal.Submit(within(5*time.Second), k, accept(k, "text", false, "claim-1", "vm-a/1")...)
+			_, err := a.journal.Submit(limited(5*time.Second), k, accept(k, "text", false, "claim-1", "vm-a/1")...)
 			So(err, ShouldBeNil)
 			lose()
 
@@ -90,7 +90,7 @@
 		Convey("work that may not run again is looked up, and ends as unknown when no target knows it", func() {
 			for claim, effect := range map[string]journal.Effect{"claim-known": journal.Done, "claim-unknown": journal.Unknown} {
 				k := journal.NewKey("a", claim)
-				_, err := a.journal.Submit(within(5*time.Second), k, accept(k, "bill", false, claim, "vm-a/1")...)
+				_, err := a.journal.Submit(limited(5*time.Second), k, accept(k, "bill", false, claim, "vm-a/1")...)
 				So(err, ShouldBeNil)
 
 				if effect == journal.Done {
@@ -107,11 +107,11 @@
 		})
 		Convey("work whose holder is among the peers and in time is left alone", func() {
 			k := journal.NewKey("a", "held")
-			_, err := a.journal.Submit(within(5*time.Second), k, accept(k, "text", false, "claim-2", "vm-c/other")...)
+			_, err := a.journal.Submit(limited(5*time.Second), k, accept(k, "text", false, "claim-2", "vm-c/other")...)
 			So(err, ShouldBeNil)
 			time.Sleep(1200 * time.Millisecond)
 
-			w, _, err := b.journal.Find(within(time.Second), k)
+			w, _, err := b.journal.Find(limited(time.Second), k)
 			So(err, ShouldBeNil)
 			So(w.Ended() && w.Claim() == "claim-2", ShouldBeFalse)
 		})
@@ -133,7 +133,7 @@
 		}
 
 		submit := func() (journal.Work, error) {
-			return a.journal.Submit(within(2*time.Second), k, accept(k, "bill", false, "claim-1", "vm-a/1")...)
+			return a.journal.Submit(limited(2*time.Second), k, accept(k, "bill", false, "claim-1", "vm-a/1")...)
 		}
 
 		Convey("a record whose confirmation is lost is found through the log", func() {
@@ -185,7 +185,7 @@
 			b.silent.Store(false)
 			c.silent.Store(false)
 
-			w, err := b.journal.Await(within(5*time.Second), k)
+			w, err := b.journal.Await(limited(5*time.Second), k)
 			So(err, ShouldBeNil)
 			So(w.Result().Effect, ShouldEqual, journal.Done)
 		})
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -32,7 +32,7 @@
 }
 
 // Peers returns the daemons that may own targets.
-func (p slotPeers) Peers() []controller.Peer { return p.daemon.targets.Peers() }
+func (p slotPeers) Peers() []controller.Peer { return p.daemon.peers() }
 
 // Domain returns the failure domain of a target.
 func (p slotPeers) Domain(target string) (string, bool) { return p.daemon.targets.Domain(target) }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -29,8 +29,12 @@
 	"github.com/agategap/agategap/wire"
 )
 
-// Key is the bearer key of the demo's account.
-const Key = "demo-key"
+// Keys of the demo.
+const (
+	Key      = "demo-key"              // bearer key of account lintas
+	OtherKey = "demo-other-key"        // bearer key of account faellesvagt
+	PeerKey  = "demo-peer-key-unusual" // shared key of the daemons
+)
 
 const region = "klang-valley"
 
@@ -181,6 +185,7 @@
 		VM: fmt.Sprintf("%s-entry-%d", domain, i), FailureDomain: domain, Region: region,
 		CallerAddress: any, OperatorAddress: any, PeerAddress: any, Platform: d.address, Policy: d.options.Policy,
 		LogRetention: tomlfile.NewDuration(24 * time.Hour), //nolint:mnd // longer than any run
+		PeerKeys:     []string{PeerKey},
 	}, z)
 	if err != nil {
 		return err
@@ -198,12 +203,12 @@
 
 // publish publishes the demo's configuration.
 func (d *Demo) publish() error {
-	h := sha256.Sum256([]byte(Key))
+	hash := func(k string) []string { h := sha256.Sum256([]byte(k)); return []string{hex.EncodeToString(h[:])} }
 	ms := func(n int) tomlfile.Duration { return tomlfile.NewDuration(time.Duration(n) * time.Millisecond) }
 
 	t, err := config.Format(config.Document{
 		Partitions: 16, //nolint:mnd // the default
-		Accounts:   []config.AccountRecord{{Name: "lintas", KeyHashes: []string{hex.EncodeToString(h[:])}}},
+		Accounts:   []config.AccountRecord{{Name: "lintas", KeyHashes: hash(Key)}, {Name: "faellesvagt", KeyHashes: hash(OtherKey)}},
 		Batch:      d.options.Batch,
 		Services: []config.ServiceRecord{
 			{Name: d.options.Service, Kind: config.KindEngine, Idempotent: true, Deadline: ms(10_000), IdleBound: ms(2000), MaxAttempts: 3, Hedge: true},
--- a/integration/system_test.go
+++ b/integration/system_test.go
@@ -244,7 +244,7 @@
 func (s *system) add(name, address, peer, domain, role, service string) {
 	s.list = append(s.list, map[string]string{
 		"name": name, "address": address, "peer_address": peer, "failure_domain": domain, "region": "klang-valley",
-		"role": role, "service": service, "state": "live",
+		"role": role, "service": service, "kind": map[string]string{"signwriter": "engine", "billing": "plain"}[service], "state": "live",
 	})
 }
 
--- a/job/grantor_test.go
+++ b/job/grantor_test.go
@@ -10,8 +10,8 @@
 	"github.com/agategap/agategap/job"
 )
 
-// running returns a job with shards of one item each.
-func running(id string, items, priority int, deadline time.Time) *job.Job {
+// jobOfOneItemShards returns a job with shards of one item each.
+func jobOfOneItemShards(id string, items, priority int, deadline time.Time) *job.Job {
 	j := job.New(job.Open{
 		Job: id, Account: "a", Items: items, ShardItems: 1, MaxAttempts: 3, Idempotent: true,
 		Priority: priority, DeadlineMS: deadline.UnixMilli(),
@@ -27,7 +27,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		start := time.Unix(1000, 0)
 		now, renewed := start, start
-		j := running("j", 1, 0, start)
+		j := jobOfOneItemShards("j", 1, 0, start)
 		j.Grant(job.Lease{Job: "j", Holder: "one", DurationMS: lease.Milliseconds()}, 7)
 
 		var g job.Grantor
@@ -49,7 +49,7 @@
 
 			if rapid.Bool().Draw(t, "renew") {
 				v, _ := j.Lease(0)
-				g.Renew(now, job.Ref{Job: "j"}, v, false)
+				g.Renew(now, job.Ref{Job: "j"}, v)
 
 				renewed = now
 			}
@@ -62,7 +62,7 @@
 func TestShardsAreGrantedInOrderAndInShares(t *testing.T) {
 	Convey("Given jobs of different priority and deadline", t, func() {
 		now := time.Unix(1000, 0)
-		late, soon, high := running("late", 1, 0, now.Add(time.Hour)), running("soon", 1, 0, now.Add(time.Minute)), running("high", 1, 1, now.Add(time.Hour))
+		late, soon, high := jobOfOneItemShards("late", 1, 0, now.Add(time.Hour)), jobOfOneItemShards("soon", 1, 0, now.Add(time.Minute)), jobOfOneItemShards("high", 1, 1, now.Add(time.Hour))
 
 		var g job.Grantor
 
@@ -88,15 +88,14 @@
 			high.Grant(job.Lease{Job: "high", Holder: "vm2/1", DurationMS: lease.Milliseconds()}, 3)
 			So(g.Offers(now, high.Candidates(8), d, pause), ShouldBeEmpty)
 
-			v, _ := high.Lease(0)
-			g.Renew(now, job.Ref{Job: "high"}, v, true)
+			high.Progress(job.Progress{Job: "high", Lease: 3, Release: true}, now)
 			So(g.Offers(now, high.Candidates(8), d, pause), ShouldHaveLength, 1)
 		})
 	})
 
 	Convey("Given a job of 12 shards and two failure domains that ask for the same capacity", t, func() {
 		now := time.Unix(1000, 0)
-		j := running("j", 12, 0, now)
+		j := jobOfOneItemShards("j", 12, 0, now)
 		a, b := job.NewDemand("a", "vm1/1", 20, nil, nil), job.NewDemand("b", "vm2/1", 20, nil, nil)
 
 		var g job.Grantor
@@ -112,3 +111,33 @@
 		})
 	})
 }
+
+// Guards against a report that is delivered twice and undoes the start of an item that was sent in between, which would
+// let another holder send it again.
+func TestSecondCopyOfAReleaseHasNoEffect(t *testing.T) {
+	Convey("Given a started item of a shard that was given back without sending it", t, func() {
+		j := job.New(job.Open{Job: "j", Account: "a", Items: 1, ShardItems: 1})
+		j.Carry(job.Items{Items: make([]job.Item, 1)})
+		j.Submit(time.Unix(1000, 0))
+
+		items, err := job.Bitmap([]int{0})
+		So(err, ShouldBeNil)
+
+		back := job.Progress{Lease: 1, Release: true, Unsent: []uint32{0}}
+
+		j.Grant(job.Lease{Holder: "vm1/1"}, 1)
+		So(j.Start(job.Start{Lease: 1, Items: items}), ShouldBeTrue)
+		j.Progress(back, time.Unix(1000, 0))
+		So(j.Started(0), ShouldBeFalse)
+
+		Convey("it cannot be started under the same lease", func() {
+			So(j.Start(job.Start{Lease: 1, Items: items}), ShouldBeFalse)
+		})
+		Convey("its start under a new lease stays", func() {
+			So(j.Grant(job.Lease{Holder: "vm1/1", Replaces: 1}, 2), ShouldBeTrue)
+			So(j.Start(job.Start{Lease: 2, Items: items}), ShouldBeTrue)
+			j.Progress(back, time.Unix(1000, 0))
+			So(j.Started(0), ShouldBeTrue)
+		})
+	})
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -124,16 +124,16 @@
 		names[p] = true
 	}
 
+	if a, err := netip.ParseAddrPort(d.PeerAddress); err == nil && len(d.PeerKeys) == 0 && !a.Addr().IsLoopback() {
+		x.Addf(l, "peer_keys", "is required, as %s is reachable from other machines", d.PeerAddress)
+	}
+
 	for i, k := range d.PeerKeys {
 		if len(k) < MinKeyBytes {
 			x.Addf(l, fmt.Sprintf("peer_keys[%d]", i), "key %d has %d bytes; at least %d are required", i, len(k), MinKeyBytes)
 		}
 	}
 
-	if a, err := netip.ParseAddrPort(d.PeerAddress); err == nil && len(d.PeerKeys) == 0 && !a.Addr().IsLoopback() {
-		x.Addf(l, "peer_keys", "is required, as %s is reachable from other machines", d.PeerAddress)
-	}
-
 	oneOf(x, l, "log_level", d.LogLevel, "debug", "info", "warn", "error")
 	oneOf(x, l, "policy", d.Policy, "round_robin", "least_loaded", "power_of_two", "owner")
 	d.DrainWait.Check(x, l, "drain_wait", 0, mostDrain)
