--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -79,6 +79,19 @@
 	})
 }
 
+// Guards against a result that changes after a caller has read it: idempotent work may be completed by both holders.
+func TestFirstCompletionCounts(t *testing.T) {
+	Convey("Given work that two holders run", t, func() {
+		w := &writer{p: &journal.Partition{}, now: start}
+		w.apply(accept(false), claim("c1", ""), claim("c2", "c1"))
+		So(w.apply(complete("c1")), ShouldHaveLength, 1)
+		So(w.apply(complete("c2")), ShouldBeEmpty)
+
+		v, _ := w.p.Lookup(journal.NewKey("a", "k"))
+		So(v.Result().Text, ShouldEqual, "c1")
+	})
+}
+
 // Guards against results that stay in memory and in snapshots for good, and against a key that cannot be used again.
 func TestResultsExpire(t *testing.T) {
 	Convey("Given ended work", t, func() {
