--- a/peer/client.go
+++ b/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/rpc"
@@ -36,6 +37,7 @@
 	counts counts
 	dials  singleflight.Group
 	closed atomic.Bool
+	tls    *tls.Config
 	shards [connShards]connShard
 }
 
@@ -55,6 +57,9 @@
 // NewClient returns a client.
 func NewClient(k Keys) *Client { return &Client{keys: k} }
 
+// UseTLS encrypts the connections. It is called before the first call.
+func (c *Client) UseTLS(t *tls.Config) { c.tls = t }
+
 // Call calls NAME.METHOD at an IP number with a port. When ctx ends first the call may still take effect. When the
 // connection gave no sign in that time, new calls get a new one; calls that wait on the old one keep it until
 // their own deadlines. ErrNotSent means that the call cannot have had any effect. reply must not be read after
@@ -182,6 +187,10 @@
 		return nil, err
 	}
 
+	if c.tls != nil {
+		n = tls.Client(n, c.tls)
+	}
+
 	if err := c.keys.dial(n); err != nil {
 		_ = n.Close()
 
