--- a/controller/jobs_test.go
+++ b/controller/jobs_test.go
@@ -108,6 +108,25 @@
 			So(most, ShouldEqual, 1)
 			So(requests, ShouldEqual, 10)
 		})
+		Convey("a daemon that hands over gives its shards to others, and nothing that ran is unknown", func() {
+			s.targets.set(func(context.Context, *filter.Request) error {
+				time.Sleep(200 * time.Millisecond)
+
+				return nil
+			})
+
+			id, err := a.jobs.Submit(context.Background(), spec("k", "bill", 60))
+			So(err, ShouldBeNil)
+			So(waitFor(func() bool { _, n := s.targets.each(); return n > 0 && len(b.runner.Held()) > 0 }), ShouldBeTrue)
+			So(b.runner.HandOver(context.Background()), ShouldBeNil)
+			So(b.runner.Held(), ShouldBeEmpty)
+
+			v := eventually(a, id, finished)
+			So(v.Done, ShouldEqual, 60)
+
+			most, _ := s.targets.each()
+			So(most, ShouldEqual, 1)
+		})
 		Convey("an item that always fails ends as failed and the others are done", func() {
 			s.targets.set(func(_ context.Context, r *filter.Request) error {
 				if string(r.Body()) == `{"n":3}` {
--- a/controller/runner.go
+++ b/controller/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -41,8 +42,9 @@
 	counter  Counter
 	logger   zerolog.Logger
 
-	shards []*heldShard
-	wake   chan struct{}
+	shards  []*heldShard
+	wake    chan struct{}
+	closing atomic.Bool
 
 	mu       sync.Mutex
 	capacity *job.Capacity
@@ -164,7 +166,7 @@
 	held, refused, due := h.demand(r.clock())
 
 	w := r.want()
-	if !due || w <= 0 || ctx.Err() != nil {
+	if !due || w <= 0 || ctx.Err() != nil || r.closing.Load() {
 		return
 	}
 
@@ -230,7 +232,7 @@
 
 	var at time.Time
 
-	for r.enter() {
+	for !r.closing.Load() && r.enter() {
 		h, next := r.bestShard()
 		at = next
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -139,6 +139,7 @@
 	h.SetTimeouts(d.settings.ReadTimeout.Value(), d.settings.WriteTimeout.Value())
 	d.serveCallers(d.listeners[0], h.Handler())
 	d.drain.Subscribe("membership", d.membership.Leave)
+	d.drain.Subscribe("jobs", v.runner.HandOver)
 	d.serve(d.listeners[1], operator.New(d, d.metrics.handler(), d.dumpers()).WithJobs(v.runner).Handler())
 	d.group.Add(func() error { return d.server.Serve(d.listeners[2]) }, func(error) { d.server.Close(); d.client.Close() })
 	d.actor(d.config.Run)
--- a/daemon/work.go
+++ b/daemon/work.go
@@ -41,6 +41,8 @@
 	accepted := controller.NewAccepted(controller.NewAcceptedParts(
 		j, d.config, filter.AcceptedChain(p, c), look, d.holder, newClaim, time.Now, d.metrics, d.logger))
 
+	d.dumps["work"] = runner
+
 	d.stopFirst(runner.Run)
 	d.actor(accepted.Run)
 	d.stopFirst(j.Run)
