--- a/sched/limit.go
+++ b/sched/limit.go
@@ -53,7 +53,10 @@
 
 // Observe takes the observation of a request that ended while inUse slots were in use.
 func (l *Limit) Observe(now time.Time, o Observation, inUse int) {
-	if o.first > 0 {
+	// Work that started before the last cut shows the queue that the cut removes.
+	current := !now.Add(-o.total).Before(l.cutAt)
+
+	if o.first > 0 && current {
 		l.first, l.bestFirst = track(l.first, l.bestFirst, float64(o.first))
 	}
 
@@ -64,10 +67,11 @@
 	switch {
 	case !o.ok || l.per > slowFactor*l.bestToken:
 		l.cut(now, slowCut)
-	case l.first > queueFactor*l.bestFirst+queueSteps*l.per && float64(inUse) >= l.value/2:
+	case current && l.first > queueFactor*l.bestFirst+queueSteps*l.per && float64(inUse) >= l.value/2:
 		l.ceiling, l.ceilingUntil = l.value*queueCut, now.Add(ceilingFor)
 		l.startup = false
 		l.cut(now, queueCut)
+		l.first = l.bestFirst
 	case float64(inUse+1) >= l.value && o.first > 0:
 		l.grow(now)
 	}
