--- /dev/null
+++ b/balance/line_test.go
@@ -0,0 +1,103 @@
+package balance_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agategap/agategap/balance"
+	"github.com/agategap/agategap/filter"
+	"github.com/agategap/agategap/outcome"
+	"github.com/agategap/agategap/sched"
+)
+
+// counting grants one slot at a time and notes how many demands wait.
+type counting struct {
+	mu      sync.Mutex
+	waiting int
+	most    int
+	free    chan struct{}
+}
+
+func (c *counting) Load(string) sched.Load { return sched.Load{} }
+
+func (c *counting) Acquire(ctx context.Context, _ string, d sched.Demand) (balance.Permit, error) {
+	if d.MaxWait() < 0 {
+		return nil, outcome.New(outcome.Overloaded, outcome.NotRun, "busy")
+	}
+
+	c.add(1)
+	defer c.add(-1)
+
+	select {
+	case <-c.free:
+		return permit{}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (c *counting) add(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.waiting += n
+	c.most = max(c.most, c.waiting)
+}
+
+// Guards against the items of many jobs that all ask their owners at a time, which left no time for online requests,
+// and that all advance together, so that no part of a job ends.
+func TestBatchItemsAskInOrder(t *testing.T) {
+	Convey("Given the items of a job that arrive in any order", t, func() {
+		g := &counting{free: make(chan struct{})}
+		p := balance.New(balance.Owner{}, g, shares{}, "vm", time.Now, random())
+		p.Set("m", targets("t", 2))
+
+		const items = 200
+
+		ended := make(chan int, items)
+		deadline := time.Now().Add(time.Hour)
+
+		for i := items - 1; i >= 0; i-- {
+			go func() {
+				r := filter.NewBatchRequest(filter.Input{ID: fmt.Sprintf("job-%d", i), Service: "m"}, filter.Account{}, filter.Service{}, deadline)
+				if s, err := p.Acquire(context.Background(), r, nil); err == nil {
+					s.Release(fast(true))
+					ended <- i
+				}
+			}()
+		}
+
+		time.Sleep(100 * time.Millisecond)
+
+		n := make([]int, 0, items)
+
+		for range items {
+			g.free <- struct{}{}
+
+			n = append(n, <-ended)
+		}
+
+		So(g.most, ShouldBeLessThanOrEqualTo, 16)
+
+		Convey("they get their slots in the order of the job, but for those that ask at the time", func() {
+			for i, v := range n {
+				if v > i+16 && i >= 16 {
+					t.Fatalf("item %d was number %d", v, i)
+				}
+			}
+		})
+		Convey("an item that is given up leaves the line", func() {
+			c, stop := context.WithTimeout(context.Background(), 20*time.Millisecond)
+			defer stop()
+
+			r := filter.NewBatchRequest(filter.Input{ID: "job-x", Service: "m"}, filter.Account{}, filter.Service{}, deadline)
+			_, err := p.Acquire(c, r, nil)
+			So(err, ShouldNotBeNil)
+		})
+	})
+}
--- a/sched/queue_test.go
+++ b/sched/queue_test.go
@@ -369,6 +369,19 @@
 
 			So(l.Value(), ShouldBeGreaterThanOrEqualTo, high)
 		})
+		Convey("work that started before a cut does not lead to another", func() {
+			for range 10 {
+				now = now.Add(300 * time.Millisecond)
+				observe(100*time.Millisecond, 2*time.Millisecond)
+			}
+
+			l1 := l.Value()
+			So(l1, ShouldBeLessThan, high)
+
+			now = now.Add(300 * time.Millisecond)
+			l.Observe(now, sched.NewObservation(100*time.Millisecond, 2*time.Millisecond, time.Hour, 20, true), l1)
+			So(l.Value(), ShouldEqual, l1)
+		})
 		Convey("a target that queues requests loses slots", func() {
 			for range 40 {
 				observe(100*time.Millisecond, 2*time.Millisecond)
