--- a/controller/slot_holder.go
+++ b/controller/slot_holder.go
@@ -14,7 +14,7 @@
 
 // heldSide is what a requester keeps: the slots that it holds, and a session with each owner that it asks.
 type heldSide struct {
-	shards [slotShards]heldShard
+	shards [slotShards]permitShard
 
 	mu       sync.Mutex
 	sessions map[string]*session
@@ -22,7 +22,7 @@
 	stopped  bool
 }
 
-type heldShard struct {
+type permitShard struct {
 	mu      sync.Mutex
 	permits map[sched.GrantID]*permit
 }
@@ -92,7 +92,7 @@
 	return changed
 }
 
-func (h *heldSide) shard(id sched.GrantID) *heldShard {
+func (h *heldSide) shard(id sched.GrantID) *permitShard {
 	return &h.shards[shard.Index(string(id), slotShards)]
 }
 
--- a/controller/targets.go
+++ b/controller/targets.go
@@ -11,7 +11,7 @@
 // Machine is an entry of the platform's list of VMs as the controllers need it.
 type Machine struct {
 	name, address, peerAddress, domain, region, service string
-	target, leaving                                     bool
+	target, plain, leaving                              bool
 }
 
 // NewTargetMachine returns a VM that runs a target of a service.
@@ -19,6 +19,17 @@
 	return Machine{name: name, address: address, domain: domain, region: region, service: service, target: true, leaving: leaving}
 }
 
+// AsPlain returns a copy of a target that runs a plain service.
+func (m Machine) AsPlain() Machine {
+	m.plain = true
+
+	return m
+}
+
+// Plain reports whether a target runs a plain service. Nothing is sent to it but callers' requests, as any call may
+// have an effect.
+func (m Machine) Plain() bool { return m.plain }
+
 // NewEntryMachine returns a VM that runs a daemon.
 func NewEntryMachine(name, peerAddress, domain, region string, leaving bool) Machine {
 	return Machine{name: name, peerAddress: peerAddress, domain: domain, region: region, leaving: leaving}
@@ -59,6 +70,13 @@
 	SetRemote(service string, t []filter.Target)
 }
 
+// Departures knows the leaving targets from all sources, and whether this daemon is to read the list.
+type Departures interface {
+	ObserveList(l []Machine, age time.Duration)
+	Departing(vm, address string) bool
+	ReadsList() bool
+}
+
 // listInterval is the time between two reads of the platform's list.
 const listInterval = 500 * time.Millisecond
 
@@ -68,10 +86,14 @@
 	pool   TargetPool
 	domain string
 
+	departures Departures
+
 	mu       sync.Mutex
 	machines []Machine
 	services map[string]bool
 	leaving  map[string]bool
+
+	poolMu sync.Mutex // orders the updates of the pool
 }
 
 // NewTargets returns the controller of a failure domain.
@@ -79,11 +101,17 @@
 	return &Targets{list: l, pool: p, domain: domain, services: map[string]bool{}, leaving: map[string]bool{}}
 }
 
-// Run reads the list until ctx ends. While the platform does not answer, the last list stays.
+// Follow sets the source of departures. It is to be called before Run.
+func (t *Targets) Follow(d Departures) { t.departures = d }
+
+// Run reads the list until ctx ends. While the platform does not answer, the last list stays. A daemon that gets
+// the list from its peers does not read it.
 func (t *Targets) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if m, err := t.list.Machines(ctx); err == nil {
-			t.observe(m)
+		if t.departures == nil || t.departures.ReadsList() {
+			if m, err := t.list.Machines(ctx); err == nil {
+				t.Receive(m, 0)
+			}
 		}
 
 		sleep(ctx, listInterval)
@@ -108,17 +136,51 @@
 	return len(t.services) > 0
 }
 
-// observe takes a list. A VM that was seen leaving never comes back under the same name.
-func (t *Targets) observe(l []Machine) {
+// Receive takes a list that the platform confirmed at the given age.
+func (t *Targets) Receive(l []Machine, age time.Duration) {
+	t.mu.Lock()
+	t.machines = l
+	t.mu.Unlock()
+
+	if t.departures != nil {
+		t.departures.ObserveList(l, age)
+	}
+
+	t.Refresh()
+}
+
+// Refresh gives the pool the targets that are not leaving. A target that was seen leaving never comes back at
+// the same address.
+func (t *Targets) Refresh() {
+	t.poolMu.Lock()
+	defer t.poolMu.Unlock()
+
+	l := t.Machines()
+	departing := make([]bool, len(l))
+
+	for i, m := range l {
+		departing[i] = m.Leaving() || m.Target() && t.departures != nil && t.departures.Departing(m.Name(), m.Address())
+	}
+
+	own, remote := t.pools(l, departing)
+	for s, p := range own {
+		t.pool.Set(s, p)
+		t.pool.SetRemote(s, remote[s])
+	}
+}
+
+// pools returns the targets of every service that was ever seen, in this failure domain and in others, so that the
+// pool of one without targets is emptied.
+func (t *Targets) pools(l []Machine, departing []bool) (own, remote map[string][]filter.Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	t.machines = l
-	pools, remote := map[string][]filter.Target{}, map[string][]filter.Target{}
+	own, remote = map[string][]filter.Target{}, map[string][]filter.Target{}
 
-	for _, m := range l {
-		if m.Leaving() {
-			t.leaving[m.Name()] = true
+	for i, m := range l {
+		k := m.Name() + "\x00" + m.Address()
+		if departing[i] {
+			t.leaving[k] = true
 		}
 
 		if !m.Target() {
@@ -126,28 +188,29 @@
 		}
 
 		t.services[m.Service()] = true
+		v := filter.NewTarget(m.Name(), m.Address())
 
 		switch {
-		case t.leaving[m.Name()]:
+		case t.leaving[k]:
 		case m.Domain() == t.domain:
-			pools[m.Service()] = append(pools[m.Service()], filter.NewTarget(m.Name(), m.Address()))
+			own[m.Service()] = append(own[m.Service()], v)
 		default:
-			remote[m.Service()] = append(remote[m.Service()], filter.NewTarget(m.Name(), m.Address()))
+			remote[m.Service()] = append(remote[m.Service()], v)
 		}
 	}
 
 	for s := range t.services {
-		t.pool.Set(s, pools[s])
-		t.pool.SetRemote(s, remote[s])
+		if _, ok := own[s]; !ok {
+			own[s] = nil
+		}
 	}
+
+	return own, remote
 }
 
 // Domain returns the failure domain of a target.
 func (t *Targets) Domain(target string) (string, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-
-	for _, m := range t.machines {
+	for _, m := range t.Machines() {
 		if m.Target() && m.Name() == target {
 			return m.Domain(), true
 		}
--- a/daemon/adapt.go
+++ b/daemon/adapt.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 
+	"github.com/agategap/agategap/config"
 	"github.com/agategap/agategap/controller"
-	"github.com/agategap/agategap/journal"
 	"github.com/agategap/agategap/platform"
-	"github.com/agategap/agategap/store"
+	"github.com/agategap/agategap/shard"
+	"github.com/agategap/agategap/wire"
 )
 
 // machines gives the platform's list to the controllers.
@@ -27,7 +28,12 @@
 		leaving := v.State == platform.StateLeaving
 
 		if v.Role == platform.RoleTarget {
-			r = append(r, controller.NewTargetMachine(v.Name, v.Address, v.FailureDomain, v.Region, v.Service, leaving))
+			m := controller.NewTargetMachine(v.Name, v.Address, v.FailureDomain, v.Region, v.Service, leaving)
+			if v.Kind == config.KindPlain {
+				m = m.AsPlain()
+			}
+
+			r = append(r, m)
 		} else {
 			r = append(r, controller.NewEntryMachine(v.Name, v.PeerAddress, v.FailureDomain, v.Region, leaving))
 		}
@@ -36,39 +42,32 @@
 	return r, nil
 }
 
-// recorder gives the store to the filters.
-type recorder struct {
-	store *store.Store
+// republisher appends the configuration again. The first entry VM by rendezvous hashing does it; copies by two VMs
+// whose lists differ have no effect.
+type republisher struct {
+	client *platform.Client
+	peers  func() []controller.Peer
+	vm     string
 }
 
-// Find returns the work under a key, after replaying everything that was recorded before the call.
-func (r recorder) Find(ctx context.Context, k journal.Key) (journal.Work, bool, error) {
-	if err := r.store.Sync(ctx, r.store.Partition(k.String())); err != nil {
-		return journal.Work{}, false, err
+// Elected reports whether this VM is the first one on the list that it knows.
+func (r republisher) Elected() bool {
+	n := []string{r.vm}
+	for _, p := range r.peers() {
+		n = append(n, p.VM())
 	}
 
-	w, ok := r.store.Work(k)
-
-	return w, ok, nil
-}
-
-// Await waits until the work under a key has ended.
-func (r recorder) Await(ctx context.Context, k journal.Key) (journal.Work, error) {
-	return r.store.Await(ctx, k)
+	return shard.First(controller.ConfigStream, n) == r.vm
 }
 
-// Submit appends records of the work under a key and returns the work.
-func (r recorder) Submit(ctx context.Context, k journal.Key, v ...journal.Record) (journal.Work, error) {
-	if err := r.store.Submit(ctx, r.store.Partition(k.String()), v...); err != nil {
-		return journal.Work{}, err
+// Republish appends v.
+func (r republisher) Republish(ctx context.Context, v config.Version) error {
+	b, err := (wire.Versions{}).EncodeVersion(v)
+	if err != nil {
+		return err
 	}
 
-	w, _ := r.store.Work(k)
-
-	return w, nil
-}
+	_, err = r.client.Append(ctx, controller.ConfigStream, b)
 
-// Enqueue queues records of the work under a key.
-func (r recorder) Enqueue(k journal.Key, v ...journal.Record) {
-	r.store.Enqueue(r.store.Partition(k.String()), v...)
+	return err
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,13 +4,14 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"errors"
-	"io"
 	"log"
 	"maps"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -19,6 +20,7 @@
 
 	"github.com/agategap/agategap/appender"
 	"github.com/agategap/agategap/controller"
+	"github.com/agategap/agategap/drain"
 	"github.com/agategap/agategap/filter"
 	"github.com/agategap/agategap/front"
 	"github.com/agategap/agategap/operator"
@@ -27,24 +29,32 @@
 	"github.com/agategap/agategap/settings"
 	"github.com/agategap/agategap/store"
 	"github.com/agategap/agategap/target"
+	"github.com/agategap/agategap/tlsfile"
 	"github.com/agategap/agategap/wire"
 )
 
 // Daemon is the daemon of one entry VM.
 type Daemon struct {
-	settings  settings.Daemon
-	logger    zerolog.Logger
-	holder    string
-	group     run.Group
-	config    *controller.Config
-	targets   *controller.Targets
-	jobs      *controller.Jobs
-	store     *store.Store
-	metrics   *metrics
-	server    *peer.Server
-	client    *peer.Client
-	listeners []net.Listener
-	dumps     map[string]operator.Dumper // of parts that only some settings build
+	settings   settings.Daemon
+	logger     zerolog.Logger
+	holder     string
+	group      run.Group
+	config     *controller.Config
+	targets    *controller.Targets
+	membership *controller.Membership
+	store      *store.Store
+	follow     *controller.Follow
+	log        *watchedLog
+	metrics    *metrics
+	server     *peer.Server
+	client     *peer.Client
+	listeners  []net.Listener
+	drain      *controller.Drain
+	finished   chan struct{}
+	finishOnce sync.Once
+	dumps      map[string]operator.Dumper // of parts that only some settings build
+
+	certificates []*tlsfile.Files
 }
 
 const (
@@ -53,6 +63,8 @@
 	// appendInterval is the shortest time between two appends of one partition. At 16 partitions it allows 160
 	// appends a second for one daemon that writes them all, about half of the log's rate.
 	appendInterval = 100 * time.Millisecond
+	// appendBurst lets a quiet partition append a few groups without delay.
+	appendBurst = 4
 	// headerTimeout bounds slow callers before the body.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
@@ -61,7 +73,7 @@
 
 // New returns a daemon with open listeners, so that a bad address is reported before anything runs.
 func New(s settings.Daemon, z zerolog.Logger) (*Daemon, error) {
-	d := &Daemon{dumps: map[string]operator.Dumper{}, settings: s, logger: z.With().Str("vm", s.VM).Str("failure_domain", s.FailureDomain).Logger()}
+	d := &Daemon{finished: make(chan struct{}), dumps: map[string]operator.Dumper{}, settings: s, logger: z.With().Str("vm", s.VM).Str("failure_domain", s.FailureDomain).Logger()}
 	d.holder = s.VM + "/" + incarnation()
 
 	for _, a := range []string{s.CallerAddress, s.OperatorAddress, s.PeerAddress} {
@@ -75,7 +87,11 @@
 		d.listeners = append(d.listeners, l)
 	}
 
-	d.build()
+	if err := d.build(); err != nil {
+		d.close()
+
+		return nil, err
+	}
 
 	return d, nil
 }
@@ -90,48 +106,80 @@
 	return hex.EncodeToString(b)
 }
 
-func (d *Daemon) build() {
+func (d *Daemon) build() error {
 	p := platform.New(d.settings.Platform)
 	w := machines{client: p}
 
 	d.metrics = newMetrics()
 	k := peer.NewKeys(d.settings.PeerKeys)
 	d.server, d.client = peer.NewServer(k), peer.NewClient(k)
-	d.store = store.New(p, wire.Groups{}, store.NewOptions(d.holder, partitions, appender.NewLimits(0, 0, appendInterval), time.Now))
-	d.config = controller.NewConfig(p, wire.Versions{}, d.logger)
+	d.log = &watchedLog{log: p}
+
+	if err := d.encrypt(); err != nil {
+		return err
+	}
+
+	l := appender.NewLimits(0, 0, appendInterval).WithBurst(appendBurst)
+	o := store.NewOptions(d.holder, partitions, l, time.Now).WithSnapshots(wire.Parts{}, d.settings.LogRetention.Value()).
+		WithWrites(func(p int) bool { return d.follow.Writes(p) })
+	d.store = store.New(d.log, wire.Groups{}, o)
+	d.config = controller.NewConfig(d.log, wire.Versions{}, d.logger)
 
 	pool := d.buildPool()
 	d.targets = controller.NewTargets(w, pool, d.settings.FailureDomain)
 
+	d.config.SetRepublisher(republisher{client: p, peers: d.peers, vm: d.settings.VM}, d.settings.LogRetention.Value(), time.Now)
+
 	c := target.New()
-	r := recorder{store: d.store}
-	parts := filter.NewParts(d.config, r, pool, time.Now, d.holder, recordWait).
-		WithRetries(filter.NewRetries(slotBounds{config: d.config}, uint64(time.Now().UnixNano()))) //nolint:gosec // spreads retries
-	online := filter.OnlineChain(parts, c)
-	d.jobs = controller.NewJobs(d.store, d.config, filter.BatchChain(parts, c), d.holder, d.settings.FailureDomain, time.Now, d.logger)
-
-	d.serve(d.listeners[0], front.New(d.metrics.count(online), d.config, d.jobs, r, time.Now).Handler())
-	d.serve(d.listeners[1], operator.New(d, d.metrics.handler(), d.dumpers()).Handler())
+	d.buildMembership(c)
+	v := d.buildWork(d.membership, pool, c)
+	online := filter.OnlineChain(v.parts, c)
+
+	h := front.New(d.metrics.count(online), d.config, v.jobs, v.journal, time.Now)
+	h.SetTimeouts(d.settings.ReadTimeout.Value(), d.settings.WriteTimeout.Value())
+	d.serveCallers(d.listeners[0], h.Handler())
+	d.drain.Subscribe("membership", d.membership.Leave)
+	d.serve(d.listeners[1], operator.New(d, d.metrics.handler(), d.dumpers()).WithJobs(v.runner).Handler())
 	d.group.Add(func() error { return d.server.Serve(d.listeners[2]) }, func(error) { d.server.Close(); d.client.Close() })
 	d.actor(d.config.Run)
 	d.actor(d.targets.Run)
-	d.actor(d.jobs.Run)
 	d.group.Add(d.store.Wait, func(error) { d.store.Stop() })
+
+	return nil
+}
+
+// encrypt puts TLS on the listeners for callers and for other daemons where the settings ask for it.
+func (d *Daemon) encrypt() error {
+	if t := d.settings.CallerTLS; t.Enabled() {
+		f, err := tlsfile.New(t.Certificate, t.Key, t.Authority, time.Now)
+		if err != nil {
+			return err
+		}
+
+		d.listeners[0] = tls.NewListener(d.listeners[0], f.Server())
+		d.certificates = append(d.certificates, f)
+	}
+
+	if t := d.settings.PeerTLS; t.Enabled() {
+		f, err := tlsfile.New(t.Certificate, t.Key, t.Authority, time.Now)
+		if err != nil {
+			return err
+		}
+
+		d.listeners[2] = tls.NewListener(d.listeners[2], f.Server())
+		d.client.UseTLS(f.Client())
+		d.certificates = append(d.certificates, f)
+	}
+
+	return nil
 }
 
 // recordWait bounds the wait for the log of work that is refused during an outage.
 const recordWait = 2 * time.Second
 
-// Run runs the daemon until ctx ends.
+// Run runs the daemon until ctx ends, and then shuts it down without cutting off requests.
 func (d *Daemon) Run(ctx context.Context) error {
-	d.actor(func(c context.Context) error {
-		select {
-		case <-ctx.Done():
-		case <-c.Done():
-		}
-
-		return nil
-	})
+	d.actor(func(group context.Context) error { return d.runDrain(ctx, group) })
 	d.logger.Info().Str("caller_address", d.CallerAddress()).Str("operator_address", d.OperatorAddress()).Msg("daemon started")
 
 	err := d.group.Run()
@@ -152,6 +200,10 @@
 
 // Ready reports whether the daemon takes requests.
 func (d *Daemon) Ready() (bool, string) {
+	if d.drain.Phase() != drain.Serving {
+		return false, "the daemon is shutting down"
+	}
+
 	if d.config.InForce().Offset() == 0 {
 		return false, "no configuration version is known"
 	}
@@ -170,10 +222,7 @@
 }
 
 func (d *Daemon) serve(l net.Listener, h http.Handler) {
-	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ErrorLog: log.New(io.Discard, "", 0), // a caller's broken connection is no change of state
-	}
+	s := d.newServer(h)
 
 	d.group.Add(func() error {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -184,6 +233,13 @@
 	}, func(error) { _ = s.Close() })
 }
 
+func (d *Daemon) newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ErrorLog: log.New(d.metrics, "", 0), // a broken connection is counted, as it is no change of state
+	}
+}
+
 func (d *Daemon) close() {
 	for _, l := range d.listeners {
 		_ = l.Close()
@@ -193,14 +249,23 @@
 func (d *Daemon) dumpers() map[string]operator.Dumper {
 	m := map[string]operator.Dumper{
 		"daemon": operator.DumpFunc(func() any {
-			return map[string]any{"vm": d.settings.VM, "holder": d.holder, "failure_domain": d.settings.FailureDomain}
+			return map[string]any{"vm": d.settings.VM, "holder": d.holder, "phase": d.drain.Phase().String(), "failure_domain": d.settings.FailureDomain}
 		}),
 		"config": operator.DumpFunc(func() any {
 			f := d.config.InForce()
 
 			return map[string]any{"version": f.Offset(), "author": f.Version().Author, "based_on": f.Version().BaseOn}
 		}),
-		"store": operator.DumpFunc(func() any { return map[string]any{"followed": d.store.Followed()} }),
+		"jobs":       operator.DumpFunc(d.dumpJobs),
+		"log":        operator.DumpFunc(d.log.dump),
+		"tls":        operator.DumpFunc(d.dumpTLS),
+		"membership": operator.DumpFunc(d.dumpMembership),
+		"store": operator.DumpFunc(func() any {
+			return map[string]any{
+				"followed": d.store.Followed(), "stalled": d.store.Stalled(), "snapshots": d.store.Snapshots(),
+				"dropped": d.store.Dropped(), "rejected": d.store.Rejected(),
+			}
+		}),
 	}
 
 	maps.Copy(m, d.dumps)
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -43,10 +43,13 @@
 // list has all subcommands in the order of the help text.
 var list = []*Cmd{
 	cmdServe,
+	cmdGenerate,
 	cmdCheck,
 	cmdPublish,
 	cmdConfig,
+	cmdJob,
 	cmdDump,
+	cmdStatus,
 	cmdDemo,
 	cmdStandin,
 	cmdBench,
@@ -137,6 +140,13 @@
 	return f
 }
 
+// sub returns the environment of a part of a subcommand, with its own usage text.
+func (e Env) sub(name, args, desc, example string) Env {
+	e.cmd = &Cmd{Name: e.cmd.Name + " " + name, Args: args, Desc: desc, Example: example}
+
+	return e
+}
+
 // parse parses flags and checks the number of arguments behind them.
 func (e Env) parse(f *flag.FlagSet, args []string, least, most int) error {
 	if err := f.Parse(args); err != nil {
@@ -156,6 +166,14 @@
 	return nil
 }
 
+// usage reports a missing or wrong flag.
+func (e Env) usage(f *flag.FlagSet, format string, a ...any) error {
+	_, _ = fmt.Fprintf(e.err, "agategap %s: %s\n\n", e.cmd.Name, fmt.Sprintf(format, a...))
+	f.Usage()
+
+	return errUsage
+}
+
 func (e Env) printf(format string, a ...any) {
 	_, _ = fmt.Fprintf(e.out, format, a...)
 }
