Renew slots after a broken connection and keep those of work that may not run again

A session with an owner that failed came back only with the next demand, so slots ran out of their time and preemptions did not arrive; a test guards it. Work that may not run again was marked as preempted and never gave its slot back, and the burst waited for it instead of other batch work. Plain services, whose answers come in one piece, lost slots when the time of their calls doubled.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -244,7 +244,8 @@
 	id := sched.GrantID(p.holder + "/" + strconv.FormatUint(p.ids.Add(1), 10))
 	t, long := p.sizes.Predict(r.ServiceName(), len(r.Prompt()), r.MaxTokens())
 
-	return sched.NewDemand(id, p.holder, r.Account().Name(), c, r.Deadline()).WithSize(t, long).WithMaxWait(w)
+	return sched.NewDemand(id, p.holder, r.Account().Name(), c, r.Deadline()).WithSize(t, long).WithMaxWait(w).
+		WithKeep(!r.Service().Idempotent())
 }
 
 // choose picks a target and counts the request there. Without one, it reports whether that is for want of free slots.
--- a/controller/slot_holder.go
+++ b/controller/slot_holder.go
@@ -82,14 +82,11 @@
 	return p.address
 }
 
-func (p *permit) setOwner(address string) (changed bool) {
+func (p *permit) setOwner(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	changed = p.address != address
 	p.address = address
-
-	return changed
 }
 
 func (h *heldSide) shard(id sched.GrantID) *permitShard {
@@ -348,7 +345,8 @@
 	}
 }
 
-// follow renews this daemon's own slots, and reports slots of targets whose owner has changed to the new one.
+// follow renews this daemon's own slots, and sees to it that there is a session with the owner of each other slot: the
+// owner may have changed, or the last session may have failed.
 func (s *Slots) follow(ctx context.Context) {
 	now := s.clock()
 
@@ -366,8 +364,12 @@
 		case o.VM() == s.self.VM():
 			p.setOwner("")
 			s.carryOut(s.queue(p.target).Renew(now, p.demand))
-		case p.setOwner(o.Address()) && ctx.Err() == nil:
-			s.leave(s.join(o.Address()))
+		default:
+			p.setOwner(o.Address())
+
+			if ctx.Err() == nil && !s.held.isDown(o.Address(), now) {
+				s.leave(s.join(o.Address()))
+			}
 		}
 	}
 }
--- a/controller/slot_owner.go
+++ b/controller/slot_owner.go
@@ -243,13 +243,13 @@
 		t = now.Add(time.Duration(m.RemainingUS) * time.Microsecond)
 	}
 
-	return sched.NewDemand(sched.GrantID(m.ID), m.Holder, m.Account, sched.Class(m.Class), t).WithSize(m.Tokens, m.Long)
+	return sched.NewDemand(sched.GrantID(m.ID), m.Holder, m.Account, sched.Class(m.Class), t).WithSize(m.Tokens, m.Long).WithKeep(m.Keep)
 }
 
 func heldMessage(target string, d sched.Demand, now time.Time) sched.HeldMessage {
 	m := sched.HeldMessage{
 		Target: target, ID: string(d.ID()), Holder: d.Holder(), Account: d.Account(), Class: uint8(d.Class()),
-		Tokens: d.Tokens(), Long: d.Long(),
+		Tokens: d.Tokens(), Long: d.Long(), Keep: d.Keep(),
 	}
 
 	if !d.Deadline().IsZero() {
--- a/controller/slots_test.go
+++ b/controller/slots_test.go
@@ -221,6 +221,43 @@
 	})
 }
 
+// Guards against slots that are no longer renewed once a connection to their owner broke.
+func TestSessionComesBack(t *testing.T) {
+	Convey("Given batch work of another daemon and a connection that breaks for a while", t, func() {
+		d := newDomain(t, "vm-1", "vm-2")
+		owner, other := roles("vm-1", "vm-2")
+
+		var n demands
+
+		held := fill(d.slots[other], other, &n, sched.Batch)
+		d.kill(owner)
+		time.Sleep(100 * time.Millisecond)
+
+		d.mu.Lock()
+		d.dead[owner] = make(chan struct{})
+		d.mu.Unlock()
+
+		time.Sleep(1500 * time.Millisecond)
+
+		go func() {
+			_, _ = d.slots[owner].Acquire(context.Background(), "target", n.next(owner, sched.Online, "b"))
+		}()
+
+		preempted := func() bool {
+			for _, p := range held {
+				select {
+				case <-p.Preempted():
+					return true
+				default:
+				}
+			}
+
+			return false
+		}
+		So(holdsWithin(time.Second, preempted), ShouldBeTrue)
+	})
+}
+
 // Guards against slots that are lost, or that stay granted, when two daemons believe that they own a target.
 func TestTwoOwners(t *testing.T) {
 	Convey("Given two daemons that each own the target in their own view", t, func() {
--- a/sched/demand.go
+++ b/sched/demand.go
@@ -28,6 +28,7 @@
 	tokens   int
 	long     bool
 	maxWait  time.Duration
+	keep     bool
 }
 
 // NewDemand returns the demand of a daemon, the holder, for work of an account. A zero deadline means none. Online
@@ -51,6 +52,13 @@
 	return d
 }
 
+// WithKeep returns a copy whose grant is not preempted, for work that may not be run again.
+func (d Demand) WithKeep(k bool) Demand {
+	d.keep = k
+
+	return d
+}
+
 // WithHolder returns a copy of another holder.
 func (d Demand) WithHolder(h string) Demand {
 	d.holder = h
@@ -79,6 +87,9 @@
 // Long reports whether the work is predicted to be long.
 func (d Demand) Long() bool { return d.long }
 
+// Keep reports whether the grant is not preempted.
+func (d Demand) Keep() bool { return d.keep }
+
 // MaxWait returns the bound on the wait.
 func (d Demand) MaxWait() time.Duration { return d.maxWait }
 
--- a/sched/limit.go
+++ b/sched/limit.go
@@ -18,6 +18,10 @@
 	// those, limits fell to 9 at an engine that runs 16 streams.
 	queueFactor = 2
 	queueSteps  = 3
+	// wholeFactor and wholeSlack take the place of these bounds for plain services, whose answers come in one piece. Their
+	// times differ by call, so only a large rise is a sign.
+	wholeFactor = 4
+	wholeSlack  = 50 * time.Millisecond
 	// cutInterval is the shortest time between two cuts, so that the effect of one is seen before the next.
 	cutInterval = 200 * time.Millisecond
 	slowCut     = 0.7
@@ -67,7 +71,7 @@
 	switch {
 	case !o.ok || l.per > slowFactor*l.bestToken:
 		l.cut(now, slowCut)
-	case current && l.first > queueFactor*l.bestFirst+queueSteps*l.per && float64(inUse) >= l.value/2:
+	case current && l.queues() && float64(inUse) >= l.value/2:
 		l.ceiling, l.ceilingUntil = l.value*queueCut, now.Add(ceilingFor)
 		l.startup = false
 		l.cut(now, queueCut)
@@ -77,6 +81,15 @@
 	}
 }
 
+// queues reports whether the target queues requests.
+func (l *Limit) queues() bool {
+	if l.per == 0 {
+		return l.first > wholeFactor*l.bestFirst+float64(wholeSlack)
+	}
+
+	return l.first > queueFactor*l.bestFirst+queueSteps*l.per
+}
+
 func (l *Limit) cut(now time.Time, factor float64) {
 	if now.Sub(l.cutAt) < cutInterval {
 		return
--- a/sched/message.go
+++ b/sched/message.go
@@ -19,6 +19,7 @@
 	RemainingUS int64  `msgpack:"remaining"` // time to the deadline; 0 if there is none
 	Tokens      int    `msgpack:"tokens"`
 	Long        bool   `msgpack:"long"`
+	Keep        bool   `msgpack:"keep"`
 }
 
 // AcquireReply is the answer to a demand.
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -342,7 +342,7 @@
 	var l []*grant
 
 	for _, g := range q.grants {
-		if g.demand.class == Batch && !g.risk && !g.preempted {
+		if g.demand.class == Batch && !g.demand.keep && !g.risk && !g.preempted {
 			l = append(l, g)
 		}
 	}
--- a/sched/queue_test.go
+++ b/sched/queue_test.go
@@ -246,6 +246,21 @@
 	})
 }
 
+// Guards against a burst that waits for a slot of work which may not be interrupted.
+func TestWorkThatMayNotRunAgainKeepsItsSlot(t *testing.T) {
+	Convey("Given batch work in every slot, of which one item may not run again", t, func() {
+		o := newOwner(2, 0)
+		keep := sched.NewDemand(o.id(), "vm-1", "a", sched.Batch, time.Time{})
+		o.request(t, keep.WithKeep(true))
+
+		yields := sched.NewDemand(o.id(), "vm-1", "a", sched.Batch, time.Time{})
+		o.request(t, yields)
+
+		So(o.request(t, sched.NewDemand(o.id(), "vm-2", "b", sched.Online, o.now.Add(time.Second))), ShouldResemble, []sched.GrantID{yields.ID()})
+		So(o.request(t, sched.NewDemand(o.id(), "vm-2", "b", sched.Online, o.now.Add(time.Second))), ShouldBeEmpty)
+	})
+}
+
 // Guards against batch work at risk that takes more than its share from online work.
 func TestBatchAtRiskHasABoundedShare(t *testing.T) {
 	Convey("Given online work in every slot and batch work at risk that waits", t, func() {
