Start with more batch items at a time

Each daemon started with 16 items at a time and grew by one per window of successes, so that free slots stayed empty at the start of a job. It now starts with 64, which wait for slots at the owners of targets.

--- a/controller/runner.go
+++ b/controller/runner.go
@@ -20,8 +20,9 @@
 	longestPull  = 5 * time.Second
 	// reportTick is the time between two looks for reports that are due.
 	reportTick = 50 * time.Millisecond
-	// firstItems and mostItems bound the batch items that a daemon runs at a time.
-	firstItems = 16
+	// firstItems and mostItems are the batch items that a daemon runs at a time at first and at most. Items wait for their
+	// slot at the owner of a target, which orders them behind online work; with too few of them free slots stay empty.
+	firstItems = 64
 	mostItems  = 256
 	// releaseWait bounds the last reports of a daemon that stops.
 	releaseWait = 2 * time.Second
