--- a/controller/membership.go
+++ b/controller/membership.go
@@ -96,7 +96,7 @@
 
 	start := time.Now()
 
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && m.ctx.Err() == nil {
 		m.table.SetConfig(m.versions.InForce().Offset())
 
 		m.randomMu.Lock()
@@ -110,6 +110,7 @@
 		select {
 		case <-t.C:
 		case <-ctx.Done():
+		case <-m.ctx.Done():
 		}
 	}
 
@@ -308,6 +309,9 @@
 	return nil
 }
 
+// Stop ends what Run does, without a word to the peers.
+func (m *Membership) Stop() { m.stop() }
+
 // start runs f unless Run has ended.
 func (m *Membership) start(f func()) {
 	m.mu.Lock()
--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -77,7 +77,7 @@
 func (d *Daemon) dumpMembership() any {
 	p := []map[string]string{}
 	for _, v := range d.membership.Peers() {
-		p = append(p, map[string]string{"vm": v.VM(), "address": v.Address(), "failure_domain": v.Domain(), "region": v.Region()})
+		p = append(p, map[string]string{"vm": v.VM(), "address": v.Address(), "domain": v.Domain(), "region": v.Region()})
 	}
 
 	return map[string]any{
@@ -90,3 +90,18 @@
 
 // Membership returns the membership of the daemon.
 func (d *Daemon) Membership() *controller.Membership { return d.membership }
+
+// Version returns the configuration version in force, 0 for none.
+func (d *Daemon) Version() int64 { return d.config.InForce().Offset() }
+
+// ControlBytes returns the bytes of the messages of membership and configuration that this daemon answered, with
+// the answers.
+func (d *Daemon) ControlBytes() int64 { return d.server.Bytes("Member") + d.server.Bytes("Config") }
+
+// Kill ends the daemon as the loss of its VM would: no peer is told and connections break.
+func (d *Daemon) Kill() {
+	d.membership.Stop()
+	d.server.Close()
+	d.client.Close()
+	d.close()
+}
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -26,7 +26,7 @@
 // AtRiskShare returns the share of slots for batch work whose deadline is at risk.
 func (b slotBounds) AtRiskShare() float64 { return b.config.InForce().Document().Batch.AtRiskShare }
 
-// slotPeers gives the membership to the slots. The targets controller is built after them, as it fills their pool.
+// slotPeers gives the membership to the slots. The membership is built after them.
 type slotPeers struct {
 	daemon *Daemon
 }
--- a/peer/counts.go
+++ b/peer/counts.go
@@ -1,10 +1,37 @@
 package peer
 
-import "sync/atomic"
+import (
+	"strings"
+	"sync"
+	"sync/atomic"
+)
 
 type counts struct {
 	accepted, refusedKey, refusedLimit, malformed, oversized, in, out atomic.Int64
 	dialed, unreachable, replaced, expired                            atomic.Int64
+
+	mu       sync.Mutex
+	services map[string]int64
+}
+
+// add counts the bytes of a message by the service of its method.
+func (c *counts) add(method string, n int64) {
+	s, _, _ := strings.Cut(method, ".")
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if _, ok := c.services[s]; ok {
+		c.services[s] += n
+	}
+}
+
+// Bytes returns the bytes of the messages of a registered service that this server received and sent.
+func (s *Server) Bytes(service string) int64 {
+	s.counts.mu.Lock()
+	defer s.counts.mu.Unlock()
+
+	return s.counts.services[service]
 }
 
 // Counts returns the server's counters by name; bytes are of messages with their lengths.
