--- a/bench/bench.go
+++ b/bench/bench.go
@@ -116,6 +116,13 @@
 	"overload":     overload,
 	"control":      controlScenario,
 	"restart":      restartScenario,
+	"config":       configScenario,
+	"journal":      journalScenario,
+}
+
+// ByPolicy reports whether the balancing policy makes a difference to a scenario.
+func ByPolicy(name string) bool {
+	return slices.Contains([]string{"batch-harm", "head-of-line", "slow-targets", "overload"}, name)
 }
 
 // Names returns the names of the scenarios.
--- a/internal/cmd/cmd_bench.go
+++ b/internal/cmd/cmd_bench.go
@@ -40,8 +40,13 @@
 
 		var l []bench.Result
 
-		for _, v := range strings.Split(*p, ",") {
-			x, err := bench.Run(ctx, strings.ReplaceAll(*n, "_", "-"), bench.NewOptions(bench.Sizes[i], v, *s, *d))
+		name, policies := strings.ReplaceAll(*n, "_", "-"), strings.Split(*p, ",")
+		if !bench.ByPolicy(name) {
+			policies = policies[len(policies)-1:]
+		}
+
+		for _, v := range policies {
+			x, err := bench.Run(ctx, name, bench.NewOptions(bench.Sizes[i], v, *s, *d))
 			if err != nil {
 				return err
 			}
