--- a/sched/queue.go
+++ b/sched/queue.go
@@ -22,6 +22,9 @@
 	longShare = 0.5
 	// riskWithin is the time before its deadline from which batch work is at risk.
 	riskWithin = 30 * time.Second
+	// waitFactor is how much longer than estimated a wait may turn out. Without it, the queue of an overloaded target
+	// grows until work starts as late as its deadline allows, and whatever is slower than estimated is lost.
+	waitFactor = 1.5
 	// repeatAfter is the time after which a preemption is repeated.
 	repeatAfter = time.Second
 )
@@ -412,7 +415,7 @@
 func (q *Queue) tooLate(now time.Time, d Demand) (time.Duration, bool) {
 	w := q.wait(d)
 
-	return w, d.class == Online && (!q.inTime(now.Add(w), d) || d.maxWait > 0 && w > d.maxWait)
+	return w, d.class == Online && (!q.inTime(now.Add(time.Duration(float64(w)*waitFactor)), d) || d.maxWait > 0 && w > d.maxWait)
 }
 
 // inTime reports whether work that starts now ends before its deadline. Batch items have been accepted and run even
