Take the number of partitions and the waits from the configuration

Cause: every daemon used 16 partitions whatever the configuration said, and two seconds as the wait for the log; bounds.record_wait and bounds.leaving_bound had no effect. An integration test failed about once in ten runs because a port that was found free was taken by an outgoing connection before the daemon listened on it.

Change: the store, the followers and the job controllers are built when the first version of the configuration is known; until then requests are refused as not run and the daemon is not ready. The record filter takes its wait from the configuration in force, with a default of 2 s, and the platform's list is read six times within the bound on leaving targets. The integration tests take ports below those of outgoing connections.

--- a/config/check.go
+++ b/config/check.go
@@ -78,7 +78,7 @@
 // setDefaults sets every setting that is absent from the document. A setting that is written keeps its value, also
 // when that is 0.
 func (d *Document) setDefaults(has func(key string) bool) {
-	setDefault(has, "bounds.record_wait", &d.Bounds.RecordWait, tomlfile.NewDuration(300*time.Millisecond))
+	setDefault(has, "bounds.record_wait", &d.Bounds.RecordWait, tomlfile.NewDuration(2*time.Second))
 	setDefault(has, "bounds.leaving_bound", &d.Bounds.LeavingBound, tomlfile.NewDuration(3*time.Second))
 	setDefault(has, "batch.lease", &d.Batch.Lease, tomlfile.NewDuration(10*time.Second))
 	setDefault(has, "batch.pause_bound", &d.Batch.PauseBound, tomlfile.NewDuration(10*time.Second))
--- a/controller/targets.go
+++ b/controller/targets.go
@@ -77,8 +77,15 @@
 	ReadsList() bool
 }
 
-// listInterval is the time between two reads of the platform's list.
-const listInterval = 500 * time.Millisecond
+const (
+	// listInterval is the longest time between two reads of the platform's list.
+	listInterval = 500 * time.Millisecond
+	// leastListInterval keeps a small bound from flooding the platform.
+	leastListInterval = 100 * time.Millisecond
+	// readsInBound is the number of reads of the list within the bound on leaving targets; the others are for the
+	// gossip that passes a departure on.
+	readsInBound = 6
+)
 
 // Targets follows the platform's list and keeps the pool of targets of its own failure domain.
 type Targets struct {
@@ -87,6 +94,7 @@
 	domain string
 
 	departures Departures
+	bound      func() time.Duration
 
 	mu       sync.Mutex
 	machines []Machine
@@ -104,6 +112,18 @@
 // Follow sets the source of departures. It is to be called before Run.
 func (t *Targets) Follow(d Departures) { t.departures = d }
 
+// Bound sets the time within which a leaving target gets nothing new. It is to be called before Run.
+func (t *Targets) Bound(f func() time.Duration) { t.bound = f }
+
+// interval returns the time until the next read of the list.
+func (t *Targets) interval() time.Duration {
+	if t.bound == nil || t.bound() == 0 {
+		return listInterval
+	}
+
+	return max(leastListInterval, min(listInterval, t.bound()/readsInBound))
+}
+
 // Run reads the list until ctx ends. While the platform does not answer, the last list stays. A daemon that gets
 // the list from its peers does not read it.
 func (t *Targets) Run(ctx context.Context) error {
@@ -114,7 +134,7 @@
 			}
 		}
 
-		sleep(ctx, listInterval)
+		sleep(ctx, t.interval())
 	}
 
 	return nil
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,22 +12,19 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 	"github.com/rs/zerolog"
 
-	"github.com/agategap/agategap/appender"
 	"github.com/agategap/agategap/controller"
 	"github.com/agategap/agategap/drain"
-	"github.com/agategap/agategap/filter"
-	"github.com/agategap/agategap/front"
 	"github.com/agategap/agategap/operator"
 	"github.com/agategap/agategap/peer"
 	"github.com/agategap/agategap/platform"
 	"github.com/agategap/agategap/settings"
-	"github.com/agategap/agategap/store"
 	"github.com/agategap/agategap/target"
 	"github.com/agategap/agategap/tlsfile"
 	"github.com/agategap/agategap/wire"
@@ -42,8 +39,7 @@
 	config     *controller.Config
 	targets    *controller.Targets
 	membership *controller.Membership
-	store      *store.Store
-	follow     *controller.Follow
+	work       atomic.Pointer[work] // nil until the first version is known, which has the number of partitions
 	log        *watchedLog
 	metrics    *metrics
 	server     *peer.Server
@@ -58,8 +54,6 @@
 }
 
 const (
-	// partitions is the number of partitions of the journal until a configuration says otherwise.
-	partitions = 16
 	// appendInterval is the shortest time between two appends of one partition. At 16 partitions it allows 160
 	// appends a second for one daemon that writes them all, about half of the log's rate.
 	appendInterval = 100 * time.Millisecond
@@ -119,33 +113,25 @@
 		return err
 	}
 
-	l := appender.NewLimits(0, 0, appendInterval).WithBurst(appendBurst)
-	o := store.NewOptions(d.holder, partitions, l, time.Now).
-		WithSnapshots(wire.Parts{}, d.settings.LogRetention.Value()).
-		WithWrites(func(p int) bool { return d.follow.Writes(p) })
-	d.store = store.New(d.log, wire.Groups{}, o)
 	d.config = controller.NewConfig(d.log, wire.Versions{}, d.logger)
 
 	pool := d.buildPool()
 	d.targets = controller.NewTargets(w, pool, d.settings.FailureDomain)
+	d.targets.Bound(bounds{config: d.config}.LeavingBound)
 
 	d.config.SetRepublisher(republisher{client: p, peers: d.peers, vm: d.settings.VM}, d.settings.LogRetention.Value(), time.Now)
 
 	c := target.New()
 	d.buildMembership(c)
-	v := d.buildWork(d.membership, pool, c)
-	online := filter.OnlineChain(v.parts, c)
+	stopFirst(&d.group, func(ctx context.Context) error { return d.runWork(ctx, pool, c) })
 
-	h := front.New(d.metrics.count(online), d.config, v.jobs, v.journal, time.Now)
-	h.SetTimeouts(d.settings.ReadTimeout.Value(), d.settings.WriteTimeout.Value())
-	d.serveCallers(d.listeners[0], h.Handler())
+	d.serveCallers(d.listeners[0], http.HandlerFunc(d.serveCaller))
 	d.drain.Subscribe("membership", d.membership.Leave)
-	d.drain.Subscribe("jobs", v.runner.HandOver)
-	d.serve(d.listeners[1], operator.New(d, d.metrics.handler(), d.dumpers()).WithJobs(v.runner).Handler())
+	d.drain.Subscribe("jobs", d.handOver)
+	d.serve(d.listeners[1], operator.New(d, d.metrics.handler(), d.dumpers()).WithJobs(d).Handler())
 	d.group.Add(func() error { return d.server.Serve(d.listeners[2]) }, func(error) { d.server.Close(); d.client.Close() })
-	d.actor(d.config.Run)
-	d.actor(d.targets.Run)
-	d.group.Add(d.store.Wait, func(error) { d.store.Stop() })
+	actor(&d.group, d.config.Run)
+	actor(&d.group, d.targets.Run)
 
 	return nil
 }
@@ -176,12 +162,9 @@
 	return nil
 }
 
-// recordWait bounds the wait for the log of work that is refused during an outage.
-const recordWait = 2 * time.Second
-
 // Run runs the daemon until ctx ends, and then shuts it down without cutting off requests.
 func (d *Daemon) Run(ctx context.Context) error {
-	d.actor(func(group context.Context) error { return d.runDrain(ctx, group) })
+	actor(&d.group, func(group context.Context) error { return d.runDrain(ctx, group) })
 	d.logger.Info().Str("caller_address", d.CallerAddress()).Str("operator_address", d.OperatorAddress()).Msg("daemon started")
 
 	err := d.group.Run()
@@ -214,13 +197,11 @@
 		return false, "no target is known"
 	}
 
-	return true, ""
-}
+	if d.work.Load() == nil {
+		return false, "the journal is not open"
+	}
 
-// actor adds a function to the group that runs until its context ends.
-func (d *Daemon) actor(f func(ctx context.Context) error) {
-	ctx, stop := context.WithCancel(context.Background())
-	d.group.Add(func() error { return f(ctx) }, func(error) { stop() })
+	return true, ""
 }
 
 func (d *Daemon) serve(l net.Listener, h http.Handler) {
@@ -262,12 +243,8 @@
 		"log":        operator.DumpFunc(d.log.dump),
 		"tls":        operator.DumpFunc(d.dumpTLS),
 		"membership": operator.DumpFunc(d.dumpMembership),
-		"store": operator.DumpFunc(func() any {
-			return map[string]any{
-				"followed": d.store.Followed(), "stalled": d.store.Stalled(), "snapshots": d.store.Snapshots(),
-				"dropped": d.store.Dropped(), "rejected": d.store.Rejected(), "skipped": d.store.Skipped(),
-			}
-		}),
+		"store":      operator.DumpFunc(d.dumpStore),
+		"work":       operator.DumpFunc(d.dumpWork),
 	}
 
 	maps.Copy(m, d.dumps)
--- a/daemon/dump.go
+++ b/daemon/dump.go
@@ -112,8 +112,13 @@
 	l := []jobRecord{}
 	now := time.Now()
 
-	for _, p := range d.store.Followed() {
-		d.store.Replay(p).Jobs(func(j *job.Job) {
+	v := d.work.Load()
+	if v == nil {
+		return l
+	}
+
+	for _, p := range v.store.Followed() {
+		v.store.Replay(p).Jobs(func(j *job.Job) {
 			if j.State() != job.Running && j.State() != job.Opening || len(l) >= maxDumpedJobs {
 				return
 			}
--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -63,8 +63,8 @@
 	_ = d.server.Register("Member", memberService{d.membership})
 	_ = d.server.Register("Config", configService{d.membership})
 
-	d.actor(d.membership.Run)
-	d.actor(controller.NewStates(d.targets, c, d.membership, d.settings.FailureDomain).Run)
+	actor(&d.group, d.membership.Run)
+	actor(&d.group, controller.NewStates(d.targets, c, d.membership, d.settings.FailureDomain).Run)
 }
 
 func validAddress(a string) bool {
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -9,22 +9,32 @@
 	"github.com/agategap/agategap/operator"
 )
 
-// slotBounds gives the bounds of the configuration in force to the pool, the slots and the retries.
-type slotBounds struct {
+// bounds gives the bounds of the configuration in force to the filters, the pool and the slots.
+type bounds struct {
 	config *controller.Config
 }
 
 // SlowShare returns the share of a service's targets that may be set aside as slow.
-func (b slotBounds) SlowShare() float64 { return b.config.InForce().Document().Bounds.SlowShare }
+func (b bounds) SlowShare() float64 { return b.config.InForce().Document().Bounds.SlowShare }
 
 // SpillShare returns the share of a service's requests that other failure domains may serve.
-func (b slotBounds) SpillShare() float64 { return b.config.InForce().Document().Bounds.SpillShare }
+func (b bounds) SpillShare() float64 { return b.config.InForce().Document().Bounds.SpillShare }
 
 // RetryShare returns retries and hedges as a share of requests.
-func (b slotBounds) RetryShare() float64 { return b.config.InForce().Document().Bounds.RetryShare }
+func (b bounds) RetryShare() float64 { return b.config.InForce().Document().Bounds.RetryShare }
+
+// RecordWait returns how long work waits for the log before it is refused.
+func (b bounds) RecordWait() time.Duration {
+	return b.config.InForce().Document().Bounds.RecordWait.Value()
+}
+
+// LeavingBound returns the time within which a leaving target gets nothing new.
+func (b bounds) LeavingBound() time.Duration {
+	return b.config.InForce().Document().Bounds.LeavingBound.Value()
+}
 
 // AtRiskShare returns the share of slots for batch work whose deadline is at risk.
-func (b slotBounds) AtRiskShare() float64 { return b.config.InForce().Document().Batch.AtRiskShare }
+func (b bounds) AtRiskShare() float64 { return b.config.InForce().Document().Batch.AtRiskShare }
 
 // slotPeers gives the membership to the slots. The membership is built after them.
 type slotPeers struct {
@@ -39,7 +49,7 @@
 
 // buildPool returns the pool of targets with the policy of the settings, and adds the controller of slots.
 func (d *Daemon) buildPool() *balance.Pool {
-	b := slotBounds{config: d.config}
+	b := bounds{config: d.config}
 	r := mrand.New(mrand.NewPCG(uint64(time.Now().UnixNano()), 0)) //nolint:gosec // load balancing
 	p := balance.Named(d.settings.Policy)
 
@@ -54,7 +64,7 @@
 			d.logger.Error().Err(err).Msg("the slot service cannot be registered")
 		}
 
-		d.actor(s.Run)
+		actor(&d.group, s.Run)
 		d.dumps["slots"] = operator.DumpFunc(func() any { return slotDump(s) })
 	}
 
--- a/filter/lookup_test.go
+++ b/filter/lookup_test.go
@@ -69,7 +69,7 @@
 		var c filter.Collector
 
 		run := func(l *lookup) error {
-			return filter.NewRecord(&p, "vm", time.Second).WithLookup(l).Apply(context.Background(), r, &c, lost)
+			return filter.NewRecord(&p, "vm", oneSecond{}).WithLookup(l).Apply(context.Background(), r, &c, lost)
 		}
 
 		Convey("a target that knows it after a moment gives the answer, which is recorded", func() {
@@ -88,3 +88,7 @@
 		})
 	})
 }
+
+type oneSecond struct{}
+
+func (oneSecond) RecordWait() time.Duration { return time.Second }
--- a/filter/order.go
+++ b/filter/order.go
@@ -9,7 +9,7 @@
 	router    Router
 	clock     func() time.Time
 	holder    string
-	wait      time.Duration
+	waits     Waits
 	retries   *Retries
 	lookup    Lookup
 }
@@ -21,10 +21,9 @@
 	return p
 }
 
-// NewParts returns the parts. holder identifies this daemon in claims; recordWait bounds the time that work
-// waits for the log when its service refuses work during an outage.
-func NewParts(d Directory, c Recorder, r Router, clock func() time.Time, holder string, recordWait time.Duration) Parts {
-	return Parts{directory: d, recorder: c, router: r, clock: clock, holder: holder, wait: recordWait, retries: NewRetries(nil, 0)}
+// NewParts returns the parts. holder identifies this daemon in claims.
+func NewParts(d Directory, c Recorder, r Router, clock func() time.Time, holder string, w Waits) Parts {
+	return Parts{directory: d, recorder: c, router: r, clock: clock, holder: holder, waits: w, retries: NewRetries(nil, 0)}
 }
 
 // WithRetries returns a copy with budgets for retries and hedges. Without it there are only the few of a start.
@@ -40,7 +39,7 @@
 		NewIdentify(p.directory),
 		NewDeduplicate(p.recorder),
 		NewAdmit(),
-		NewRecord(p.recorder, p.holder, p.wait).WithLookup(p.lookup),
+		NewRecord(p.recorder, p.holder, p.waits).WithLookup(p.lookup),
 		NewRoute(p.router),
 		NewDispatch(p.router, p.retries, p.clock),
 		NewVerify(),
--- a/filter/record.go
+++ b/filter/record.go
@@ -18,18 +18,23 @@
 	Enqueue(k journal.Key, r ...journal.Record)
 }
 
+// Waits gives the bounds of the configuration in force.
+type Waits interface {
+	// RecordWait bounds the time that work waits for the log when its service refuses work during an outage.
+	RecordWait() time.Duration
+}
+
 // Record records work that may not be lost or run twice: before it is dispatched and when it has ended.
 type Record struct {
 	recorder Recorder
-	wait     time.Duration
+	waits    Waits
 	holder   string
 	lookup   Lookup
 }
 
-// NewRecord returns the filter. holder identifies this daemon in claims. wait bounds the time that work waits
-// for the log when its service refuses work during an outage.
-func NewRecord(r Recorder, holder string, wait time.Duration) *Record {
-	return &Record{recorder: r, holder: holder, wait: wait}
+// NewRecord returns the filter. holder identifies this daemon in claims.
+func NewRecord(r Recorder, holder string, w Waits) *Record {
+	return &Record{recorder: r, holder: holder, waits: w}
 }
 
 // WithLookup sets how targets are asked about work whose answer was lost.
@@ -67,7 +72,7 @@
 	c := ctx
 
 	if !r.Service().HoldOnOutage() {
-		t, cancel := context.WithTimeout(ctx, f.wait)
+		t, cancel := context.WithTimeout(ctx, f.waits.RecordWait())
 		defer cancel()
 
 		c = t
@@ -149,7 +154,7 @@
 	k := r.WorkKey()
 
 	if e.Effect() == outcome.NotRun {
-		c, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.wait)
+		c, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.waits.RecordWait())
 		defer cancel()
 
 		if _, err := f.recorder.Submit(c, k, release(k, r.claim)); err != nil {
--- a/front/front.go
+++ b/front/front.go
@@ -311,6 +311,9 @@
 	outcome.Internal:         http.StatusInternalServerError,
 }
 
+// Refuse answers a request with an error.
+func Refuse(w http.ResponseWriter, err error) { writeError(w, err) }
+
 func writeError(w http.ResponseWriter, err error) {
 	e := outcome.From(err)
 
--- a/integration/ports_test.go
+++ b/integration/ports_test.go
@@ -1,26 +1,49 @@
 package integration_test
 
 import (
+	"fmt"
 	"net"
+	"os"
+	"sync/atomic"
 	"testing"
 )
 
-// freeAddresses returns addresses on loopback that nobody listens on. All are held until the last one is found, so
-// that they differ.
+// The ports of daemons lie below those that the system gives to outgoing connections. A port that was found free by
+// listening on port 0 was taken by such a connection before the daemon listened on it, about once in ten runs.
+const (
+	firstPort = 20_000
+	ports     = 12_000
+)
+
+// nextPort starts at another port in each process, so that two runs at a time rarely try the same ones.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 37 % ports) }
+
+// freeAddresses returns addresses on loopback that nobody listens on.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
 
 	var a []string
 
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range ports {
+		if len(a) == n {
+			return a
+		}
+
+		v := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%ports)
+
+		l, err := net.Listen("tcp", v)
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
-		defer l.Close()
 
-		a = append(a, l.Addr().String())
+		l.Close()
+
+		a = append(a, v)
 	}
 
-	return a
+	t.Fatal("no free port was found")
+
+	return nil
 }
