Report a call as not sent only when none of its bytes left

Cause: net/rpc ends calls with ErrShutdown both when they were never written and, if the peer closes the connection while this side closes it too, when they were. The client took every ErrShutdown for "not sent" and sent the call again; a caller could have been told "not run" for records that took effect.

Change: the codec notes whether any byte of a call was written; only calls without are not sent and tried again.

Figures: the new test closes the client's connection under a call that the peer works on. It passes before and after the change, as the closing of both sides at once cannot be brought about from outside; it guards the rule.

--- a/peer/client.go
+++ b/peer/client.go
@@ -73,7 +73,7 @@
 	}
 
 	err := c.try(ctx, address, method, args, reply)
-	if errors.Is(err, rpc.ErrShutdown) {
+	if errors.Is(err, ErrNotSent) && errors.Is(err, rpc.ErrShutdown) {
 		err = c.try(ctx, address, method, args, reply) // the peer closed an idle connection
 	}
 
@@ -94,7 +94,8 @@
 	defer r.done()
 
 	start := time.Now()
-	d := r.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
+	o := &outgoing{args: args}
+	d := r.rpc.Go(method, o, reply, make(chan *rpc.Call, 1))
 
 	select {
 	case <-d.Done:
@@ -112,6 +113,10 @@
 	if errors.Is(d.Error, rpc.ErrShutdown) {
 		h.drop(address, r)
 
+		if o.sent {
+			return d.Error
+		}
+
 		return errors.Join(ErrNotSent, d.Error)
 	}
 
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -190,8 +190,24 @@
 // clientCodec is the net/rpc codec of a client.
 type clientCodec struct{ *frames }
 
+// outgoing has the arguments of a call. net/rpc ends a call that was sent and one that was not with the same error
+// when its connection is closed, so the codec notes which it is. It writes in the goroutine that starts the call.
+type outgoing struct {
+	args any
+	sent bool
+}
+
+var errNotOutgoing = errors.New("the arguments are not those of an outgoing call")
+
+// WriteRequest writes the arguments of an outgoing call and notes whether any of its bytes left.
 func (c clientCodec) WriteRequest(r *rpc.Request, v any) error {
-	_, err := c.write(head{Method: r.ServiceMethod, Seq: r.Seq}, v)
+	o, ok := v.(*outgoing)
+	if !ok {
+		return errNotOutgoing
+	}
+
+	n, err := c.write(head{Method: r.ServiceMethod, Seq: r.Seq}, o.args)
+	o.sent = n > 0
 
 	return err
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -69,3 +70,52 @@
 		})
 	})
 }
+
+type Blocking struct{ called, release chan struct{} }
+
+func (b Blocking) Wait(_ string, _ *string) error {
+	b.called <- struct{}{}
+	<-b.release
+
+	return nil
+}
+
+// Guards against a call that reached the peer being reported as not sent, which made the caller's refusal say "not run",
+// and against its being sent again.
+func TestCallThatWasSentIsNotReportedAsNotSent(t *testing.T) {
+	Convey("Given a call that the peer works on", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+
+		b := Blocking{called: make(chan struct{}, 2), release: make(chan struct{})}
+		s := peer.NewServer(peer.NewKeys(nil))
+		So(s.Register("Blocking", b), ShouldBeNil)
+
+		go func() { _ = s.Serve(l) }()
+
+		defer s.Close()
+		defer close(b.release)
+
+		c := peer.NewClient(peer.NewKeys(nil))
+		done := make(chan error, 1)
+
+		go func() {
+			x, stop := context.WithTimeout(context.Background(), 10*time.Second)
+			defer stop()
+
+			var r string
+
+			done <- c.Call(x, l.Addr().String(), "Blocking.Wait", "", &r)
+		}()
+
+		<-b.called
+		c.Close()
+
+		Convey("closing its connection says nothing about its effect", func() {
+			err := <-done
+			So(err, ShouldNotBeNil)
+			So(errors.Is(err, peer.ErrNotSent), ShouldBeFalse)
+			So(len(b.called), ShouldEqual, 0)
+		})
+	})
+}
