--- a/demo/demo.go
+++ b/demo/demo.go
@@ -299,6 +299,9 @@
 // Engines returns the engine stand-ins, for fault scripts.
 func (d *Demo) Engines() []*engine.Engine { return d.engines }
 
+// Target returns the address of engine i.
+func (d *Demo) Target(i int) string { return d.vms[i%len(d.engines)].Address }
+
 // Service returns the name of the engines' service.
 func (d *Demo) Service() string { return d.options.Service }
 
--- a/sched/queue_test.go
+++ b/sched/queue_test.go
@@ -427,3 +427,25 @@
 		So(long, ShouldBeTrue)
 	})
 }
+
+// BenchmarkQueue measures a demand and a release at a queue with batch work at its limit and waiting demands.
+func BenchmarkQueue(b *testing.B) {
+	const limit = 16
+
+	now := time.Unix(0, 0)
+	q := sched.NewQueue(sched.NewSettings(3*time.Second, 0.1).WithFixedLimit(limit))
+
+	for i := range limit {
+		q.Request(now, sched.NewDemand(sched.GrantID(fmt.Sprint("held-", i)), "vm", "lintas", sched.Online, now.Add(time.Hour)))
+	}
+
+	b.ReportAllocs()
+
+	for i := range b.N {
+		id := sched.GrantID(fmt.Sprint("held-", i%limit))
+		q.Request(now, sched.NewDemand("next", "vm", "lintas", sched.Online, now.Add(time.Hour)))
+		q.Release(now, id, sched.Observation{})
+		q.Release(now, "next", sched.Observation{})
+		q.Request(now, sched.NewDemand(id, "vm", "lintas", sched.Online, now.Add(time.Hour)))
+	}
+}
