--- /dev/null
+++ b/member/heartbeat.go
@@ -0,0 +1,71 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// heartbeat returns the message of a probe, which is a full exchange when one is due.
+func (t *Table) heartbeat(now time.Time, vm string) Message {
+	full := t.probes.takeSync(now)
+	m := t.message(now, vm, full)
+	m.Full = full
+
+	return m
+}
+
+// message returns a heartbeat to a daemon. It always has what is known of the receiver, unless that is live, so
+// that the receiver can refute it.
+func (t *Table) message(now time.Time, vm string, full bool) Message {
+	m := t.header(now)
+
+	if full {
+		m.Changes = t.shared(now)
+		m.Departures, _ = t.departed.shared(now)
+
+		return m
+	}
+
+	m.Changes, m.Departures = t.queue.take()
+
+	if e, ok := t.get(vm); ok && e.change.Incarnation != 0 && e.change.State != Live && !slices.Contains(m.Changes, e.change) {
+		m.Changes = append(m.Changes, e.change)
+	}
+
+	return m
+}
+
+// Heartbeat returns a message to a daemon, for a check on behalf of another.
+func (t *Table) Heartbeat(now time.Time, vm string) Message { return t.message(now, vm, false) }
+
+func (t *Table) header(now time.Time) Message {
+	_, departed := t.departed.shared(now)
+	d, age := t.list.digest(now)
+
+	return Message{
+		Domain: t.settings.Domain, From: t.Own(), Config: t.config.Load(), Table: t.digest(), Departed: departed,
+		List: d, ListAge: age,
+	}
+}
+
+// shared returns what a full exchange carries of the other daemons.
+func (t *Table) shared(now time.Time) []Change {
+	var l []Change
+
+	for i := range t.shards {
+		h := &t.shards[i]
+
+		h.mu.Lock()
+		for _, e := range h.peers {
+			if e.change.Incarnation != 0 && (e.change.State != Leaving || now.Sub(e.since) < shareLeaving) {
+				l = append(l, e.change)
+			}
+		}
+		h.mu.Unlock()
+	}
+
+	slices.SortFunc(l, func(a, b Change) int { return cmp.Compare(a.VM, b.VM) })
+
+	return l[:min(len(l), maxFull)]
+}
--- a/member/probe.go
+++ b/member/probe.go
@@ -8,46 +8,6 @@
 	"time"
 )
 
-// Kind says what a Send asks for.
-type Kind uint8
-
-const (
-	// Probe is a heartbeat. The answer goes to Answered, its absence to Failed.
-	Probe Kind = iota + 1
-	// Check asks a peer whether Subject answers it. The result goes to Checked.
-	Check
-	// Exchange is a heartbeat to another failure domain. The answer goes to Answered.
-	Exchange
-)
-
-// Send is a message to send.
-type Send struct {
-	kind            Kind
-	vm, address     string
-	subject         string
-	subjectAddress  string
-	message         Message
-	subjectIdentity uint64
-}
-
-// Kind returns what is asked for.
-func (s Send) Kind() Kind { return s.kind }
-
-// VM returns the receiver's VM, "" for an address from the settings.
-func (s Send) VM() string { return s.vm }
-
-// Address returns the receiver's IP number and port.
-func (s Send) Address() string { return s.address }
-
-// Message returns the heartbeat; empty for a Check.
-func (s Send) Message() Message { return s.message }
-
-// Subject returns the VM to check.
-func (s Send) Subject() string { return s.subject }
-
-// SubjectAddress returns the address to check.
-func (s Send) SubjectAddress() string { return s.subjectAddress }
-
 // probes is the schedule of probes.
 type probes struct {
 	mu       sync.Mutex
@@ -291,70 +251,6 @@
 	return s, true
 }
 
-// heartbeat returns the message of a probe, which is a full exchange when one is due.
-func (t *Table) heartbeat(now time.Time, vm string) Message {
-	full := t.probes.takeSync(now)
-	m := t.message(now, vm, full)
-	m.Full = full
-
-	return m
-}
-
-// message returns a heartbeat to a daemon. It always has what is known of the receiver, unless that is live, so
-// that the receiver can refute it.
-func (t *Table) message(now time.Time, vm string, full bool) Message {
-	m := t.header(now)
-
-	if full {
-		m.Changes = t.shared(now)
-		m.Departures, _ = t.departed.shared(now)
-
-		return m
-	}
-
-	m.Changes, m.Departures = t.queue.take()
-
-	if e, ok := t.get(vm); ok && e.change.Incarnation != 0 && e.change.State != Live && !slices.Contains(m.Changes, e.change) {
-		m.Changes = append(m.Changes, e.change)
-	}
-
-	return m
-}
-
-// Heartbeat returns a message to a daemon, for a check on behalf of another.
-func (t *Table) Heartbeat(now time.Time, vm string) Message { return t.message(now, vm, false) }
-
-func (t *Table) header(now time.Time) Message {
-	_, departed := t.departed.shared(now)
-	d, age := t.list.digest(now)
-
-	return Message{
-		Domain: t.settings.Domain, From: t.Own(), Config: t.config.Load(), Table: t.digest(), Departed: departed,
-		List: d, ListAge: age,
-	}
-}
-
-// shared returns what a full exchange carries of the other daemons.
-func (t *Table) shared(now time.Time) []Change {
-	var l []Change
-
-	for i := range t.shards {
-		h := &t.shards[i]
-
-		h.mu.Lock()
-		for _, e := range h.peers {
-			if e.change.Incarnation != 0 && (e.change.State != Leaving || now.Sub(e.since) < shareLeaving) {
-				l = append(l, e.change)
-			}
-		}
-		h.mu.Unlock()
-	}
-
-	slices.SortFunc(l, func(a, b Change) int { return cmp.Compare(a.VM, b.VM) })
-
-	return l[:min(len(l), maxFull)]
-}
-
 // compare asks for everything in the next probe when the digests differ.
 func (p *probes) compare(now time.Time, m Message, t *Table) {
 	if _, d := t.departed.shared(now); m.Table == t.digest() && m.Departed == d {
