Show in the dump which targets are set aside

Cause: agategap status reads the targets that are set aside from the state dump, and nothing put them there.

Change: the pool tells which of its targets are set aside, and the dump has them under targets.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -98,6 +99,28 @@
 	h.remote = replaced(h.remote, t)
 }
 
+// SetAside returns the targets of this failure domain, and whether each is set aside as slow.
+func (p *Pool) SetAside() map[string]bool {
+	a := map[string]bool{}
+
+	for _, h := range p.all() {
+		h.mu.Lock()
+		for _, m := range h.members {
+			a[m.target.Name()] = m.latency.aside
+		}
+		h.mu.Unlock()
+	}
+
+	return a
+}
+
+func (p *Pool) all() []*poolShard {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return slices.Collect(maps.Values(p.shards))
+}
+
 func replaced(members []*member, t []filter.Target) []*member {
 	old := map[string]*member{}
 	for _, m := range members {
--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -109,6 +109,12 @@
 			}
 		}
 
+		for v, aside := range p.SetAside() {
+			if names[v] && aside {
+				t.Fatalf("target %s is reported as set aside and got work", v)
+			}
+		}
+
 		if out := n - len(names); out > int(share*float64(n)) {
 			t.Fatalf("%d of %d targets are out of rotation at a share of %g", out, n, share)
 		}
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -2,6 +2,8 @@
 
 import (
 	mrand "math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/agategap/agategap/balance"
@@ -68,7 +70,28 @@
 		d.dumps["slots"] = operator.DumpFunc(func() any { return slotDump(s) })
 	}
 
-	return balance.New(p, g, b, d.holder, time.Now, r)
+	l := balance.New(p, g, b, d.holder, time.Now, r)
+	d.dumps["targets"] = operator.DumpFunc(func() any { return targetDump(l) })
+
+	return l
+}
+
+// targetRecord is a target in the state dump.
+type targetRecord struct {
+	Name     string `json:"name"`
+	SetAside bool   `json:"set_aside"`
+}
+
+// targetDump returns the targets of this failure domain.
+func targetDump(p *balance.Pool) any {
+	l := []targetRecord{}
+	for n, a := range p.SetAside() {
+		l = append(l, targetRecord{Name: n, SetAside: a})
+	}
+
+	slices.SortFunc(l, func(a, b targetRecord) int { return strings.Compare(a.Name, b.Name) })
+
+	return map[string]any{"targets": l}
 }
 
 // slotDump returns the loads of the targets that this daemon owns.
