Remove code that nobody calls, and share the status of a job

Cause: read-through of the whole change. job.IDs looked for repeated identifiers, which the callers' interface checks with their lines; the stand-in service could refuse calls and nothing asked it to; the status of a job stood in the callers' interface and again in the job command.

Change: both are gone, and the command decodes the type that the interface encodes. With -json, job cancel therefore prints cutoff_run_bound too, which the answer always carried.

--- a/front/batch.go
+++ b/front/batch.go
@@ -204,8 +204,8 @@
 	return p, d, nil
 }
 
-// jobAnswer is the status of a job.
-type jobAnswer struct {
+// JobStatus is the status of a job in answers to callers. It is a wire message.
+type JobStatus struct {
 	ID       string    `json:"id"`
 	State    string    `json:"state"`
 	Service  string    `json:"service"`
@@ -222,8 +222,8 @@
 	CutoffRunBound string `json:"cutoff_run_bound,omitempty"`
 }
 
-func answerOf(s job.Status) jobAnswer {
-	return jobAnswer{
+func answerOf(s job.Status) JobStatus {
+	return JobStatus{
 		ID: s.ID, State: s.State.String(), Service: s.Service, Priority: s.Priority, Deadline: time.UnixMilli(s.DeadlineMS).UTC(),
 		Items: s.Items, Done: s.Done, Failed: s.Failed, Unknown: s.Unknown, Pending: s.Pending,
 	}
--- a/internal/cmd/cmd_job.go
+++ b/internal/cmd/cmd_job.go
@@ -90,19 +90,8 @@
 	"amend":   {"[-deadline TIME] [-priority N] [flags] ID", "changes the deadline or the priority of a job", "-deadline 2h -priority 5 job-1f0c"},
 }
 
-// jobState is the status of a job.
-type jobState struct {
-	ID       string    `json:"id"`
-	State    string    `json:"state"`
-	Service  string    `json:"service"`
-	Priority int       `json:"priority"`
-	Deadline time.Time `json:"deadline"`
-	Items    int       `json:"items"`
-	Done     int       `json:"done"`
-	Failed   int       `json:"failed"`
-	Unknown  int       `json:"unknown"`
-	Pending  int       `json:"pending"`
-}
+// jobState is the status of a job as the callers' interface answers it.
+type jobState struct{ front.JobStatus }
 
 func (s jobState) running() bool { return s.State != "finished" && s.State != "cancelled" }
 
--- a/job/job.go
+++ b/job/job.go
@@ -4,7 +4,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/RoaringBitmap/roaring/v2"
@@ -355,23 +354,6 @@
 	return true
 }
 
-// IDs returns the custom identifiers that occur twice among items.
-func IDs(items []Item) []string {
-	seen := map[string]bool{}
-
-	var d []string
-
-	for _, i := range items {
-		if seen[i.CustomID] && !slices.Contains(d, i.CustomID) {
-			d = append(d, i.CustomID)
-		}
-
-		seen[i.CustomID] = true
-	}
-
-	return d
-}
-
 // Bitmap returns item indexes in the form that a Start record carries.
 func Bitmap(indexes []int) ([]byte, error) {
 	b := roaring.New()
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -15,11 +15,10 @@
 
 // Service is the stand-in. The zero value is ready to use.
 type Service struct {
-	mu     sync.Mutex
-	delay  time.Duration
-	refuse int
-	runs   map[string]int
-	keys   map[string]int
+	mu    sync.Mutex
+	delay time.Duration
+	runs  map[string]int
+	keys  map[string]int
 }
 
 // SetDelay sets the time that each call takes.
@@ -30,14 +29,6 @@
 	s.delay = d
 }
 
-// RefuseNext makes the next n calls fail with status 503 before they run.
-func (s *Service) RefuseNext(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	s.refuse = n
-}
-
 // Runs returns how often a request identifier ran.
 func (s *Service) Runs(id string) int {
 	s.mu.Lock()
@@ -82,30 +73,17 @@
 
 	id := r.Header.Get(RequestIDHeader)
 
-	d, ok := s.enter(id, string(b))
-	if !ok {
-		http.Error(w, "not run", http.StatusServiceUnavailable)
-
-		return
-	}
-
-	time.Sleep(d)
+	time.Sleep(s.enter(id, string(b)))
 	w.Header().Set(RequestIDHeader, id)
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{"path": r.URL.Path, "bytes": len(b), "run": s.Runs(id)})
 }
 
-// enter counts a run, or refuses it.
-func (s *Service) enter(id, body string) (time.Duration, bool) {
+// enter counts a run and returns the time that it takes.
+func (s *Service) enter(id, body string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	if s.refuse > 0 {
-		s.refuse--
-
-		return 0, false
-	}
-
 	if s.runs == nil {
 		s.runs, s.keys = map[string]int{}, map[string]int{}
 	}
@@ -113,7 +91,7 @@
 	s.runs[id]++
 	s.keys[body]++
 
-	return s.delay, true
+	return s.delay
 }
 
 func (s *Service) lookup(w http.ResponseWriter, r *http.Request) {
