--- /dev/null
+++ b/batch/batch.go
@@ -0,0 +1,197 @@
+// Package batch has the state of batch jobs as their records in a keyed stream tell it, and makes these records. A
+// record is appended on the condition that the stream ends where the replica does, so that a job is accepted once, an
+// item is listed once and every replica lists it at the same position. The package does no input or output.
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Item is one piece of work of a job.
+type Item struct {
+	id     string
+	path   string
+	header map[string][]string
+	body   []byte
+	tokens int
+}
+
+// NewItem returns an item: a request to a path with a header and a body, of a size in tokens.
+func NewItem(id, path string, header map[string][]string, body []byte, tokens int) Item {
+	return Item{id: id, path: path, header: header, body: body, tokens: tokens}
+}
+
+// ID returns the identifier.
+func (i Item) ID() string { return i.id }
+
+// Path returns the path at the target.
+func (i Item) Path() string { return i.path }
+
+// Header returns the header, which must not be changed.
+func (i Item) Header() map[string][]string { return i.header }
+
+// Body returns the body, which must not be changed.
+func (i Item) Body() []byte { return i.body }
+
+// Runner is the process that runs a job while it is live.
+type Runner struct {
+	vm    string
+	start int64
+}
+
+// NewRunner returns the process of a VM that started at a time in Unix milliseconds.
+func NewRunner(vm string, start int64) Runner { return Runner{vm: vm, start: start} }
+
+// VM returns the name of the VM.
+func (r Runner) VM() string { return r.vm }
+
+// Start returns the start of the process, in Unix milliseconds.
+func (r Runner) Start() int64 { return r.start }
+
+// Submission is a job as a caller submits it.
+type Submission struct {
+	id, host, path string
+	items          []Item
+	at             time.Time
+	within, retain time.Duration
+	runner         Runner
+}
+
+// NewSubmission returns a job that was submitted to a path at a host.
+func NewSubmission(id, host, path string, items []Item) Submission {
+	return Submission{id: id, host: host, path: path, items: items}
+}
+
+// Timed returns a copy that is accepted at a time, due within one time and given up after another.
+func (s Submission) Timed(at time.Time, within, retain time.Duration) Submission {
+	s.at, s.within, s.retain = at, within, retain
+
+	return s
+}
+
+// RunBy returns a copy that a process runs while it is live.
+func (s Submission) RunBy(r Runner) Submission {
+	s.runner = r
+
+	return s
+}
+
+// ID returns the identifier of the job.
+func (s Submission) ID() string { return s.id }
+
+// Result is an item that is listed.
+type Result struct {
+	item string
+	done bool
+	text string
+}
+
+// NewResult returns the result of an item: its text, or that it was given up.
+func NewResult(item, text string, done bool) Result { return Result{item: item, text: text, done: done} }
+
+// Item returns the identifier of the item.
+func (r Result) Item() string { return r.item }
+
+// Done reports whether the item was completed, or else given up.
+func (r Result) Done() bool { return r.done }
+
+// Text returns the text of a completed item.
+func (r Result) Text() string { return r.text }
+
+// job is a job in a replica.
+type job struct {
+	id      string
+	record  jobRecord
+	items   []Item
+	index   map[string]int
+	results []Result
+	listed  map[string]bool
+	fails   map[string]int
+	parts   map[int]int // records of the long texts, by position
+	ended   bool
+	changed chan struct{}
+}
+
+// View is what a replica knows of a job at one moment.
+type View struct {
+	id      string
+	host    string
+	path    string
+	total   int
+	open    []Item
+	fails   map[string]int
+	at      time.Time
+	within  time.Duration
+	retain  time.Duration
+	runner  Runner
+	ended   bool
+	changed <-chan struct{}
+}
+
+// ID returns the identifier of the job.
+func (v View) ID() string { return v.id }
+
+// Host returns the host that the job was submitted to.
+func (v View) Host() string { return v.host }
+
+// Path returns the path that the job was submitted to.
+func (v View) Path() string { return v.path }
+
+// Total returns the number of items.
+func (v View) Total() int { return v.total }
+
+// Open returns the items that are not listed; none when the job has ended.
+func (v View) Open() []Item { return v.open }
+
+// Fails returns the number of failed runs of an item.
+func (v View) Fails(item string) int { return v.fails[item] }
+
+// Due returns the time at which all results are due.
+func (v View) Due() time.Time { return v.at.Add(v.within) }
+
+// Abandon returns the time after which items may be given up.
+func (v View) Abandon() time.Time { return v.at.Add(v.retain) }
+
+// Runner returns the process that runs the job while it is live.
+func (v View) Runner() Runner { return v.runner }
+
+// Ended reports whether the job was ended by its caller.
+func (v View) Ended() bool { return v.ended }
+
+// Finished reports whether nothing more will be listed.
+func (v View) Finished() bool { return v.ended || len(v.open) == 0 }
+
+// Changed returns a channel that is closed at the next change of the job.
+func (v View) Changed() <-chan struct{} { return v.changed }
+
+func (j *job) view() View {
+	v := View{
+		id: j.id, host: j.record.Host, path: j.record.Path, total: j.record.Items, at: time.UnixMilli(j.record.AtMS),
+		within: time.Duration(j.record.WithinMS) * time.Millisecond, retain: time.Duration(j.record.RetainMS) * time.Millisecond,
+		runner: NewRunner(j.record.Runner, j.record.RunnerRun), ended: j.ended, changed: j.changed,
+	}
+
+	if j.ended {
+		return v
+	}
+
+	v.fails = make(map[string]int, len(j.fails))
+	for k, n := range j.fails {
+		v.fails[k] = n
+	}
+
+	for _, i := range j.items {
+		if !j.listed[i.id] {
+			v.open = append(v.open, i)
+		}
+	}
+
+	return v
+}
+
+// byDue orders views by the time at which they are due.
+func byDue(a, b View) int { return cmp.Or(a.Due().Compare(b.Due()), cmp.Compare(a.id, b.id)) }
+
+func sortViews(l []View) { slices.SortFunc(l, byDue) }
--- /dev/null
+++ b/batch/record.go
@@ -0,0 +1,101 @@
+package batch
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/agategap/agategap/stream"
+)
+
+// The records of batch jobs in a keyed stream. Every key is written once, so that the newest records are the whole
+// state. A codec fills the fields.
+
+// jobRecord makes a job exist. Its key is j/JOB.
+type jobRecord struct {
+	Host      string `msgpack:"host"`
+	Path      string `msgpack:"path"`
+	Items     int    `msgpack:"items"`
+	Chunks    int    `msgpack:"chunks"`
+	AtMS      int64  `msgpack:"at_ms"` // acceptance, Unix milliseconds
+	WithinMS  int64  `msgpack:"within_ms"`
+	RetainMS  int64  `msgpack:"retain_ms"`
+	Runner    string `msgpack:"runner"` // VM that runs the job while it is live
+	RunnerRun int64  `msgpack:"runner_run"`
+}
+
+// itemRecord is a part of a chunk. The key of a chunk is c/JOB/NUMBER.
+type itemRecord struct {
+	ID     string              `msgpack:"id"`
+	Path   string              `msgpack:"path"`
+	Header map[string][]string `msgpack:"header"`
+	Body   []byte              `msgpack:"body"`
+	From   int                 `msgpack:"from"` // offset of the body's part; a large body goes on in the next chunk
+	Tokens int                 `msgpack:"tokens"`
+}
+
+// resultRecord lists an item. Its key is r/JOB/POSITION.
+type resultRecord struct {
+	Item  string `msgpack:"item"`
+	Done  bool   `msgpack:"done"`
+	Text  string `msgpack:"text"`
+	Parts int    `msgpack:"parts"` // records with the start of a text that exceeds one record
+}
+
+// textRecord is a part of a long text. Its key is t/JOB/POSITION/NUMBER.
+type textRecord struct {
+	Text string `msgpack:"text"`
+}
+
+// failRecord counts the failed runs of an item. Its key is f/JOB/ITEM, and it is the only one that is written again.
+type failRecord struct {
+	Runs int `msgpack:"runs"`
+}
+
+const (
+	jobPrefix    = "j"
+	chunkPrefix  = "c"
+	resultPrefix = "r"
+	textPrefix   = "t"
+	endPrefix    = "e"
+	failPrefix   = "f"
+	separator    = "/"
+)
+
+// key returns the key of a record of a job.
+func key(prefix, job string, more ...string) string {
+	return prefix + separator + job + strings.Join(append([]string{""}, more...), separator)
+}
+
+// parse splits a key. The job's identifier has no separator.
+func parse(k string) (prefix, job, rest string) {
+	prefix, k, _ = strings.Cut(k, separator)
+	job, rest, _ = strings.Cut(k, separator)
+
+	return prefix, job, rest
+}
+
+func encode(k string, v any) (stream.Keyed, error) {
+	b, err := msgpack.Marshal(v)
+	if err != nil {
+		return stream.Keyed{}, fmt.Errorf("record %s: %w", k, err)
+	}
+
+	return stream.NewKeyed(0, k, b), nil
+}
+
+func decode(k stream.Keyed, v any) error {
+	if err := msgpack.Unmarshal(k.Value(), v); err != nil {
+		return fmt.Errorf("record %s: %w", k.Key(), err)
+	}
+
+	return nil
+}
+
+func number(s string) (int, bool) {
+	n, err := strconv.Atoi(s)
+
+	return n, err == nil && n >= 0
+}
--- /dev/null
+++ b/batch/replica.go
@@ -0,0 +1,388 @@
+package batch
+
+import (
+	"strings"
+	"sync"
+
+	"github.com/agategap/agategap/stream"
+)
+
+// Replica has the jobs of one partition. The zero value is empty and ready to use. It is safe for concurrent use.
+type Replica struct {
+	mu      sync.Mutex
+	jobs    map[string]*job
+	chunks  map[string]map[int][]itemRecord
+	texts   map[string]map[string]string // parts of long texts, by job and by position and number
+	changed chan struct{}
+	broken  int
+}
+
+// Changed returns a channel that is closed at the next change.
+func (r *Replica) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if r.changed == nil {
+		r.changed = make(chan struct{})
+	}
+
+	return r.changed
+}
+
+func (r *Replica) notify(j *job) {
+	if r.changed != nil {
+		close(r.changed)
+		r.changed = nil
+	}
+
+	if j != nil {
+		close(j.changed)
+		j.changed = make(chan struct{})
+	}
+}
+
+// Broken returns the number of records that could not be read.
+func (r *Replica) Broken() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.broken
+}
+
+// Reset replaces the state by the newest record of each key.
+func (r *Replica) Reset(l []stream.Keyed) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	for _, j := range r.jobs {
+		close(j.changed)
+	}
+
+	r.jobs, r.chunks, r.texts = nil, nil, nil
+
+	// A record needs those of the prefixes before it: items and texts, jobs, results, ends.
+	for _, p := range []string{chunkPrefix + textPrefix, jobPrefix, resultPrefix + endPrefix + failPrefix} {
+		for _, k := range l {
+			if x, _, _ := parse(k.Key()); x != "" && strings.Contains(p, x) {
+				r.apply(k)
+			}
+		}
+	}
+
+	r.notify(nil)
+}
+
+// Apply adds a record.
+func (r *Replica) Apply(k stream.Keyed) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.apply(k)
+}
+
+func (r *Replica) apply(k stream.Keyed) {
+	prefix, id, rest := parse(k.Key())
+	if len(k.Value()) == 0 {
+		r.drop(prefix, id)
+
+		return
+	}
+
+	ok := false
+
+	switch prefix {
+	case chunkPrefix:
+		ok = r.applyChunk(id, rest, k)
+	case textPrefix:
+		ok = r.applyText(id, rest, k)
+	case jobPrefix:
+		ok = r.applyJob(id, k)
+	case resultPrefix:
+		ok = r.applyResult(id, rest, k)
+	case failPrefix:
+		ok = r.applyFail(id, rest, k)
+	case endPrefix:
+		if j, found := r.jobs[id]; found {
+			ok, j.ended = true, true
+			j.items, j.index = nil, nil
+			r.notify(j)
+		}
+	}
+
+	if !ok {
+		r.broken++
+	}
+}
+
+// drop forgets a job whose records are dropped. The record that makes it exist is dropped first.
+func (r *Replica) drop(prefix, id string) {
+	if prefix != jobPrefix {
+		return
+	}
+
+	j, ok := r.jobs[id]
+	if !ok {
+		return
+	}
+
+	delete(r.jobs, id)
+	delete(r.chunks, id)
+	delete(r.texts, id)
+	r.notify(j)
+}
+
+func (r *Replica) applyChunk(id, rest string, k stream.Keyed) bool {
+	n, ok := number(rest)
+
+	var l []itemRecord
+	if !ok || decode(k, &l) != nil {
+		return false
+	}
+
+	if _, known := r.jobs[id]; known {
+		return true // a repeated submission
+	}
+
+	if r.chunks == nil {
+		r.chunks = map[string]map[int][]itemRecord{}
+	}
+
+	if r.chunks[id] == nil {
+		r.chunks[id] = map[int][]itemRecord{}
+	}
+
+	r.chunks[id][n] = l
+
+	return true
+}
+
+func (r *Replica) applyText(id, rest string, k stream.Keyed) bool {
+	var v textRecord
+	if decode(k, &v) != nil {
+		return false
+	}
+
+	if r.texts == nil {
+		r.texts = map[string]map[string]string{}
+	}
+
+	if r.texts[id] == nil {
+		r.texts[id] = map[string]string{}
+	}
+
+	r.texts[id][rest] = v.Text
+
+	return true
+}
+
+func (r *Replica) applyJob(id string, k stream.Keyed) bool {
+	var v jobRecord
+	if decode(k, &v) != nil {
+		return false
+	}
+
+	if _, known := r.jobs[id]; known {
+		return true
+	}
+
+	j := &job{id: id, record: v, index: map[string]int{}, listed: map[string]bool{}, fails: map[string]int{}, parts: map[int]int{}, changed: make(chan struct{})}
+
+	for n := range v.Chunks {
+		for _, i := range r.chunks[id][n] {
+			j.add(i)
+		}
+	}
+
+	delete(r.chunks, id)
+
+	if len(j.items) != v.Items {
+		return false
+	}
+
+	if r.jobs == nil {
+		r.jobs = map[string]*job{}
+	}
+
+	r.jobs[id] = j
+	r.notify(nil)
+
+	return true
+}
+
+// add adds an item, or the next part of the body of one.
+func (j *job) add(i itemRecord) {
+	if n, ok := j.index[i.ID]; ok {
+		j.items[n].body = append(j.items[n].body, i.Body...)
+
+		return
+	}
+
+	j.index[i.ID] = len(j.items)
+	j.items = append(j.items, NewItem(i.ID, i.Path, i.Header, i.Body, i.Tokens))
+}
+
+func (r *Replica) applyResult(id, rest string, k stream.Keyed) bool {
+	var v resultRecord
+
+	n, ok := number(rest)
+	j, found := r.jobs[id]
+
+	if !ok || !found || decode(k, &v) != nil {
+		return false
+	}
+
+	text := r.text(id, rest, v.Parts) + v.Text
+
+	for len(j.results) <= n {
+		j.results = append(j.results, Result{})
+	}
+
+	j.results[n] = Result{item: v.Item, done: v.Done, text: text}
+	if v.Parts > 0 {
+		j.parts[n] = v.Parts
+	}
+
+	j.listed[v.Item] = true
+
+	if i, known := j.index[v.Item]; known {
+		j.items[i].body, j.items[i].header = nil, nil // only items that are not listed are asked for
+	}
+
+	r.notify(j)
+
+	return true
+}
+
+// text joins the parts of a long text.
+func (r *Replica) text(id, position string, parts int) string {
+	var b strings.Builder
+
+	for n := range parts {
+		k := position + separator + itoa(n)
+		b.WriteString(r.texts[id][k])
+		delete(r.texts[id], k)
+	}
+
+	return b.String()
+}
+
+func (r *Replica) applyFail(id, rest string, k stream.Keyed) bool {
+	var v failRecord
+
+	j, found := r.jobs[id]
+	if !found || decode(k, &v) != nil {
+		return false
+	}
+
+	j.fails[rest] = max(j.fails[rest], v.Runs)
+
+	return true
+}
+
+// Job returns what is known of a job.
+func (r *Replica) Job(id string) (View, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	j, ok := r.jobs[id]
+	if !ok {
+		return View{}, false
+	}
+
+	return j.view(), true
+}
+
+// Has reports whether a job is known.
+func (r *Replica) Has(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	_, ok := r.jobs[id]
+
+	return ok
+}
+
+// Open returns the jobs that have items to run, in the order in which they are due.
+func (r *Replica) Open() []View {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	var l []View
+
+	for _, j := range r.jobs {
+		if !j.ended && len(j.results) < j.record.Items {
+			l = append(l, j.view())
+		}
+	}
+
+	sortViews(l)
+
+	return l
+}
+
+// Listed reports whether an item can get no result any more: it has one, or its job has ended or is not known.
+func (r *Replica) Listed(id, item string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	j, ok := r.jobs[id]
+
+	return !ok || j.ended || j.listed[item]
+}
+
+// Results returns the results from a position on, at most some bytes of text but at least one if there is one, and the
+// channel of the next change.
+func (r *Replica) Results(id string, after, most int) ([]Result, View, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	j, ok := r.jobs[id]
+	if !ok {
+		return nil, View{}, false
+	}
+
+	var l []Result
+
+	size := 0
+
+	for _, v := range j.results[min(max(after, 0), len(j.results)):] {
+		size += len(v.text) + len(v.item)
+		if len(l) > 0 && size > most {
+			break
+		}
+
+		l = append(l, v)
+	}
+
+	return l, j.view(), true
+}
+
+// Body returns the body of an item that is not listed, of a job that has not ended.
+func (r *Replica) Body(id, item string) (body []byte, known, found bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	j, ok := r.jobs[id]
+	if !ok {
+		return nil, false, false
+	}
+
+	n, ok := j.index[item]
+	if !ok || j.ended || j.listed[item] {
+		return nil, true, false
+	}
+
+	return j.items[n].body, true, true
+}
+
+// Count returns the number of jobs and of results.
+func (r *Replica) Count() (jobs, results int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	for _, j := range r.jobs {
+		results += len(j.results)
+	}
+
+	return len(r.jobs), results
+}
--- /dev/null
+++ b/batches/batches.go
@@ -0,0 +1,273 @@
+// Package batches has the controllers of batch jobs: it accepts, lists and ends them in the log, and runs their items.
+package batches
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/agategap/agategap/batch"
+	"github.com/agategap/agategap/keyed"
+	"github.com/agategap/agategap/outcome"
+	"github.com/agategap/agategap/shard"
+)
+
+// Stream is the name of the keyed stream that has the records of jobs.
+const Stream = "keyed.batch"
+
+// Sizes are the bounds of the log.
+type Sizes struct {
+	partitions, record, call int
+}
+
+// NewSizes returns the number of partitions, the largest record and the largest append in bytes.
+func NewSizes(partitions, record, call int) Sizes {
+	return Sizes{partitions: partitions, record: record, call: call}
+}
+
+// Partitions returns the number of partitions.
+func (s Sizes) Partitions() int { return s.partitions }
+
+// partition is one partition of the stream with what this daemon appends to it.
+type partition struct {
+	replica  *batch.Replica
+	follower *keyed.Follower
+	writer   *writer
+}
+
+// Batches accepts, reads and ends jobs.
+type Batches struct {
+	partitions []*partition
+	clock      func() time.Time
+	self       batch.Runner
+	logger     zerolog.Logger
+}
+
+// New returns the controller. self is this process, which runs the jobs that it accepts.
+func New(l keyed.Log, s Sizes, self batch.Runner, clock func() time.Time, z zerolog.Logger) *Batches {
+	b := &Batches{clock: clock, self: self, logger: z}
+
+	for n := range s.partitions {
+		p := &partition{replica: &batch.Replica{}}
+		p.follower = keyed.New(l, Stream, n, p.replica, z)
+		p.writer = newWriter(l, n, p, s, z)
+		b.partitions = append(b.partitions, p)
+	}
+
+	return b
+}
+
+// Actors returns the functions that are to run until their context ends.
+func (b *Batches) Actors() []func(ctx context.Context) error {
+	var l []func(ctx context.Context) error
+	for _, p := range b.partitions {
+		l = append(l, p.follower.Run, p.writer.run)
+	}
+
+	return l
+}
+
+// Loaded reports whether all partitions are loaded.
+func (b *Batches) Loaded() bool {
+	for _, p := range b.partitions {
+		if !p.follower.Loaded() {
+			return false
+		}
+	}
+
+	return true
+}
+
+func (b *Batches) partition(job string) *partition {
+	return b.partitions[shard.Index(job, len(b.partitions))]
+}
+
+// wait waits until a partition is loaded.
+func (p *partition) wait(ctx context.Context) error {
+	select {
+	case <-p.follower.Ready():
+		return nil
+	case <-ctx.Done():
+		return outcome.New(outcome.NotReady, outcome.NotRun, "the jobs are not loaded yet").WithRetryAfter(time.Second)
+	}
+}
+
+// Submit accepts a job. A job that was accepted before is accepted again without effect. An error with the effect
+// NotRun promises that no part of the job runs.
+func (b *Batches) Submit(ctx context.Context, s batch.Submission) error {
+	p := b.partition(s.ID())
+	if err := p.wait(ctx); err != nil {
+		return err
+	}
+
+	if p.replica.Has(s.ID()) {
+		return nil
+	}
+
+	err := p.writer.submit(ctx, s.RunBy(b.self))
+	b.log("job_submitted", s.ID(), err)
+
+	return err
+}
+
+// freshWithin is the age up to which a replica is believed about a job that it does not know. A job is known to every
+// daemon within this time of its acceptance.
+const freshWithin = 100 * time.Millisecond
+
+// find returns the partition of a job that the replica knows, after reading up to the end of the log if it does not.
+func (b *Batches) find(ctx context.Context, id string) (*partition, error) {
+	p := b.partition(id)
+	if err := p.wait(ctx); err != nil {
+		return nil, err
+	}
+
+	if p.replica.Has(id) {
+		return p, nil
+	}
+
+	if b.clock().Sub(p.follower.Fresh()) > freshWithin {
+		if err := p.follower.Sync(ctx); err != nil {
+			return nil, outcome.New(outcome.LogUnavailable, outcome.NotRun, "the log cannot be asked whether the job exists").
+				WithRetryAfter(time.Second).WithCause(err)
+		}
+	}
+
+	if p.replica.Has(id) {
+		return p, nil
+	}
+
+	return nil, outcome.New(outcome.NotFound, outcome.NotRun, "no such job")
+}
+
+// Page is a part of the results of a job.
+type Page struct {
+	results []batch.Result
+	total   int
+	next    int
+}
+
+// Results returns the results in order of position.
+func (p Page) Results() []batch.Result { return p.results }
+
+// Total returns the number of items of the job.
+func (p Page) Total() int { return p.total }
+
+// Next returns the position behind the last result.
+func (p Page) Next() int { return p.next }
+
+// Results returns the results of a job from a position on, with at most some bytes of text but at least one result if
+// there is one. When there is none it waits for the first one, at most for wait.
+func (b *Batches) Results(ctx context.Context, id string, after, most int, wait time.Duration) (Page, error) {
+	p, err := b.find(ctx, id)
+	if err != nil {
+		return Page{}, err
+	}
+
+	end := time.NewTimer(wait)
+	defer end.Stop()
+
+	synced := false
+
+	for waiting := true; ; {
+		l, v, ok := p.replica.Results(id, after, most)
+		if !ok {
+			return Page{}, outcome.New(outcome.NotFound, outcome.NotRun, "no such job")
+		}
+
+		// A caller that names a position has read the result before it, so that this replica is behind.
+		if len(l) == 0 && !synced && b.behind(p, id, after) {
+			synced = true
+
+			if err := p.follower.Sync(ctx); err == nil {
+				continue
+			}
+
+			return Page{}, outcome.New(outcome.LogUnavailable, outcome.NotRun, "the log cannot be asked for the results").
+				WithRetryAfter(time.Second)
+		}
+
+		if len(l) > 0 || !waiting || v.Finished() {
+			return Page{results: l, total: v.Total(), next: after + len(l)}, nil
+		}
+
+		select {
+		case <-v.Changed():
+		case <-end.C:
+			waiting = false
+		case <-ctx.Done():
+			waiting = false
+		}
+	}
+}
+
+// behind reports whether a replica has fewer results than a caller has read.
+func (b *Batches) behind(p *partition, id string, after int) bool {
+	if after <= 0 {
+		return false
+	}
+
+	l, _, _ := p.replica.Results(id, after-1, 1)
+
+	return len(l) == 0
+}
+
+// Body returns the body of an item that is not listed yet.
+func (b *Batches) Body(ctx context.Context, id, item string) ([]byte, error) {
+	p, err := b.find(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+
+	body, _, found := p.replica.Body(id, item)
+	if !found {
+		return nil, outcome.New(outcome.NotFound, outcome.NotRun, "the job has no such item that is not listed")
+	}
+
+	return body, nil
+}
+
+// End ends a job. Items that are not listed need not run any more.
+func (b *Batches) End(ctx context.Context, id string) error {
+	p, err := b.find(ctx, id)
+	if err != nil {
+		return err
+	}
+
+	err = p.writer.end(ctx, id)
+	b.log("job_ended", id, err)
+
+	return err
+}
+
+// List lists the result of an item. It is not listed again when it is listed already.
+func (b *Batches) List(ctx context.Context, id string, v batch.Result) error {
+	return b.partition(id).writer.list(ctx, id, v)
+}
+
+// Fail records the number of failed runs of an item.
+func (b *Batches) Fail(ctx context.Context, id, item string, runs int) error {
+	return b.partition(id).writer.fail(ctx, id, item, runs)
+}
+
+// Listed reports whether an item can get no result any more.
+func (b *Batches) Listed(id, item string) bool { return b.partition(id).replica.Listed(id, item) }
+
+func (b *Batches) log(event, id string, err error) {
+	e := b.logger.Info()
+	if err != nil {
+		e = b.logger.Warn().Err(err).Str("effect", string(outcome.From(err).Effect()))
+	}
+
+	e.Str("event", event).Str("job", id).Msg("a change of a batch job was decided")
+}
+
+// Count returns the number of jobs and of results.
+func (b *Batches) Count() (jobs, results int) {
+	for _, p := range b.partitions {
+		j, r := p.replica.Count()
+		jobs, results = jobs+j, results+r
+	}
+
+	return jobs, results
+}
--- /dev/null
+++ b/batches/handover.go
@@ -0,0 +1,140 @@
+package batches
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/agategap/agategap/batch"
+)
+
+// handoverWithin bounds the transfer of one job to another daemon.
+const handoverWithin = time.Second
+
+// AdoptRequest hands a job over with the progress of its items. It is a message.
+type AdoptRequest struct {
+	Job   string            `msgpack:"job"`
+	Items []ProgressMessage `msgpack:"items"`
+}
+
+// ProgressMessage is the progress of an item.
+type ProgressMessage struct {
+	ID    string `msgpack:"id"`
+	Text  []byte `msgpack:"text"`
+	Last  int    `msgpack:"last"` // number of the last event
+	Fails int    `msgpack:"fails"`
+}
+
+// AdoptReply says whether the job was taken.
+type AdoptReply struct {
+	Taken bool `msgpack:"taken"`
+}
+
+// Adopt takes a job over from a daemon that is leaving.
+func (r *Runner) Adopt(q AdoptRequest, a *AdoptReply) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if r.leaving {
+		return nil
+	}
+
+	for _, p := range q.Items {
+		k := q.Job + "/" + p.ID
+		if _, ok := r.running[k]; ok {
+			continue
+		}
+
+		v, ok := r.batches.partition(q.Job).replica.Job(q.Job)
+		if !ok {
+			break
+		}
+
+		for _, i := range v.Open() {
+			if i.ID() == p.ID {
+				r.running[k] = &run{job: q.Job, item: i, cancel: func() {}, text: p.Text, last: p.Last, fails: p.Fails}
+			}
+		}
+	}
+
+	r.adopted[q.Job] = true
+	a.Taken = true
+
+	return nil
+}
+
+// HandOver stops the items of this daemon and hands their jobs to the daemons that run them from now on.
+func (r *Runner) HandOver(ctx context.Context) error {
+	r.mu.Lock()
+	r.leaving = true
+	jobs := map[string][]*run{}
+
+	for _, u := range r.running {
+		u.cancel()
+		jobs[u.job] = append(jobs[u.job], u)
+	}
+	r.mu.Unlock()
+
+	var wg sync.WaitGroup
+
+	for _, v := range r.open() {
+		wg.Go(func() { r.handOver(ctx, v, jobs[v.ID()]) })
+	}
+
+	wg.Wait()
+
+	return nil
+}
+
+// open returns the jobs that this daemon ran.
+func (r *Runner) open() []batch.View {
+	self := r.peers.Self()
+
+	var l []batch.View
+
+	for _, p := range r.batches.partitions {
+		for _, v := range p.replica.Open() {
+			r.mu.Lock()
+			adopted := r.adopted[v.ID()]
+			r.mu.Unlock()
+
+			if w := v.Runner(); adopted || w.VM() == self.VM && w.Start() == self.Start {
+				l = append(l, v)
+			}
+		}
+	}
+
+	return l
+}
+
+func (r *Runner) handOver(ctx context.Context, v batch.View, runs []*run) {
+	q := AdoptRequest{Job: v.ID()}
+
+	for _, u := range runs {
+		u.mu.Lock()
+		q.Items = append(q.Items, ProgressMessage{ID: u.item.ID(), Text: append([]byte(nil), u.text...), Last: u.last, Fails: u.fails})
+		u.mu.Unlock()
+	}
+
+	self := r.peers.Self()
+
+	for _, p := range r.peers.Ranked(v.ID(), r.clock()) {
+		if p.VM == self.VM {
+			continue
+		}
+
+		x, stop := context.WithTimeout(ctx, handoverWithin)
+
+		var a AdoptReply
+
+		err := r.caller.Call(x, p.Address, "Batch.Adopt", q, &a)
+
+		stop()
+
+		if err == nil && a.Taken {
+			return
+		}
+	}
+
+	r.logger.Warn().Str("event", "handover_failed").Str("job", v.ID()).Msg("no other daemon took the job; one takes it over when this one is gone")
+}
--- /dev/null
+++ b/daemon/routed.go
@@ -0,0 +1,277 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/oklog/run"
+	"github.com/rs/zerolog"
+
+	"github.com/agategap/agategap/batch"
+	"github.com/agategap/agategap/batches"
+	"github.com/agategap/agategap/controller"
+	"github.com/agategap/agategap/drain"
+	"github.com/agategap/agategap/filter"
+	"github.com/agategap/agategap/fleet"
+	"github.com/agategap/agategap/keyed"
+	"github.com/agategap/agategap/mesh"
+	"github.com/agategap/agategap/operator"
+	"github.com/agategap/agategap/peer"
+	"github.com/agategap/agategap/platform"
+	"github.com/agategap/agategap/routing"
+	"github.com/agategap/agategap/settings"
+	"github.com/agategap/agategap/slots"
+)
+
+// Routed is a daemon that passes requests on by host and path, as the platform's clients and workers speak.
+type Routed struct {
+	settings  settings.Daemon
+	logger    zerolog.Logger
+	group     run.Group
+	metrics   *metrics
+	listeners []net.Listener
+
+	routes  routing.Current
+	targets fleet.Registry
+	mesh    *mesh.Mesh
+	owner   *slots.Owner
+	batches *batches.Batches
+	runner  *batches.Runner
+	log     *keyed.Relayed
+	loaded  []*keyed.Follower
+	server  *peer.Server
+	client  *peer.Client
+	drain   *controller.Drain
+}
+
+// idleCallers is how long a connection of a caller is kept between two requests. It exceeds the time for which
+// callers of the known deployments keep them.
+const idleCallers = 2 * time.Minute
+
+// stopMargin is kept free at the end of the shutdown, as the platform kills the process when its time is over.
+const stopMargin = 500 * time.Millisecond
+
+// NewRouted returns a daemon with open listeners, so that a bad address is reported before anything runs.
+func NewRouted(s settings.Daemon, z zerolog.Logger) (*Routed, error) {
+	d := &Routed{settings: s, logger: z.With().Str("vm", s.VM).Logger(), metrics: newMetrics()}
+
+	for _, a := range []string{s.CallerAddress, s.OperatorAddress, s.PeerAddress} {
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", a)
+		if err != nil {
+			for _, o := range d.listeners {
+				_ = o.Close()
+			}
+
+			return nil, trace.ConvertSystemError(err)
+		}
+
+		d.listeners = append(d.listeners, l)
+	}
+
+	d.build()
+
+	return d, nil
+}
+
+// build makes the controllers and the chains. Actors end in the order in which they are added.
+func (d *Routed) build() {
+	k := peer.NewKeys(d.settings.PeerKeys)
+	d.server, d.client = peer.NewServer(k), peer.NewClient(k)
+
+	self := mesh.Peer{
+		VM: d.settings.VM, Address: d.PeerAddress(), Domain: d.settings.FailureDomain, Start: time.Now().UnixMilli(),
+	}
+	table := mesh.New(self)
+	d.mesh = mesh.NewMesh(table, d.client, d.settings.Peers, d.logger)
+
+	store := platform.NewStore(d.settings.Platform)
+	d.log = keyed.NewRelayed(store, caller{client: d.client}, table)
+	d.owner = slots.NewOwner(d.client, &d.targets, self.Address)
+	holder := slots.NewHolder(table, d.client, d.owner, &d.targets)
+
+	w := newWatch(d.logger, d.metrics)
+	workers := platform.NewWorkers()
+	sizes := batches.NewSizes(d.settings.Store.Partitions, d.settings.Store.RecordBytes, d.settings.Store.CallBytes)
+	d.batches = batches.New(d.log, sizes, batch.NewRunner(self.VM, self.Start), time.Now, d.logger)
+	d.runner = batches.NewRunner(d.batches, filter.ItemChain(holder, time.Now, w, workers), &d.routes, table, d.client, time.Now, d.logger)
+
+	front := platform.NewFront(filter.RoutedChain(&d.routes, holder, time.Now, w, workers), &d.routes, d.batches, time.Now)
+
+	for n, v := range map[string]any{
+		"Mesh": d.mesh, "Log": keyed.NewService(store), "Slot": d.owner, "Holder": holder, "Batch": d.runner,
+	} {
+		if err := d.server.Register(n, v); err != nil {
+			d.logger.Error().Err(err).Str("service", n).Msg("a service for other daemons cannot be registered")
+		}
+	}
+
+	d.serveCallers(front)
+	stopFirst(&d.group, d.runner.Run)
+	d.serveOperators()
+	d.group.Add(func() error { return d.server.Serve(d.listeners[2]) }, func(error) { d.server.Close(); d.client.Close() })
+
+	actor(&d.group, d.follow(platform.TopicOperator, &routeSink{routed: d}).Run)
+	actor(&d.group, d.follow(platform.TopicWorkers, &targetSink{routed: d}).WithHealth(&d.targets).Run)
+	actor(&d.group, d.follow(memberStream, &memberSink{table: table, logger: d.logger}).Run)
+	actor(&d.group, func(ctx context.Context) error { return announce(ctx, d.log, self, d.logger) })
+
+	for _, f := range append(d.batches.Actors(), d.mesh.Run, d.owner.Run, holder.Run, workers.Run, d.reload) {
+		actor(&d.group, f)
+	}
+}
+
+func (d *Routed) follow(name string, s keyed.Sink) *keyed.Follower {
+	f := keyed.New(d.log, name, 0, s, d.logger)
+	d.loaded = append(d.loaded, f)
+
+	return f
+}
+
+func (d *Routed) newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleCallers, MaxHeaderBytes: maxHeader,
+		ErrorLog: log.New(d.metrics, "", 0), // a broken connection is counted, as it is no change of state
+	}
+}
+
+// serveCallers serves callers until the shutdown is over.
+func (d *Routed) serveCallers(h http.Handler) {
+	s := d.newServer(nil) // the handler needs d.drain, which needs the server
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Connections then end between two requests, which closing idle ones could not ensure.
+		if d.drain.Phase() != drain.Serving {
+			w.Header().Set("Connection", "close")
+		}
+
+		h.ServeHTTP(w, r)
+	})
+	d.drain = controller.NewDrain(d.settings.DrainWait.Value(), d.settings.DrainMost.Value()-stopMargin, acceptor{server: s, logger: d.logger}, d.logger)
+	d.drain.Subscribe("jobs", func(ctx context.Context) error {
+		err := d.runner.HandOver(ctx)
+		d.mesh.Table().Leave()
+
+		return err
+	})
+
+	finished := make(chan struct{})
+
+	d.group.Add(func() error {
+		if err := s.Serve(d.listeners[0]); !errors.Is(err, http.ErrServerClosed) {
+			return trace.Wrap(err)
+		}
+
+		<-finished // Serve returns when the shutdown begins to wait for the requests in flight
+
+		return nil
+	}, func(error) { close(finished); _ = s.Close() })
+}
+
+func (d *Routed) serveOperators() {
+	o := operator.New(d, d.metrics.handler(), map[string]operator.Dumper{
+		"daemon": operator.DumpFunc(func() any {
+			return map[string]any{"vm": d.settings.VM, "phase": d.drain.Phase().String(), "failure_domain": d.settings.FailureDomain}
+		}),
+		"routes": operator.DumpFunc(func() any { return map[string]any{"version": d.routes.Version()} }),
+		"slots":  operator.DumpFunc(d.dumpSlots),
+		"peers":  operator.DumpFunc(d.dumpPeers),
+		"jobs":   operator.DumpFunc(d.dumpJobs),
+		"log":    operator.DumpFunc(func() any { return map[string]any{"direct": d.log.Direct()} }),
+	})
+	s := d.newServer(o.Handler())
+
+	d.group.Add(func() error {
+		if err := s.Serve(d.listeners[1]); !errors.Is(err, http.ErrServerClosed) {
+			return trace.Wrap(err)
+		}
+
+		return nil
+	}, func(error) { _ = s.Close() })
+}
+
+// acceptor closes the server for callers.
+type acceptor struct {
+	server *http.Server
+	logger zerolog.Logger
+}
+
+// Close stops accepting and waits for the requests in flight.
+func (a acceptor) Close(ctx context.Context) error {
+	if err := a.server.Shutdown(ctx); err != nil {
+		a.logger.Warn().Err(err).Str("event", "requests_cut").Msg("requests were cut off at the end of the shutdown")
+
+		return a.server.Close()
+	}
+
+	return nil
+}
+
+// Run runs the daemon until ctx ends, and then shuts it down without cutting off requests.
+func (d *Routed) Run(ctx context.Context) error {
+	actor(&d.group, func(group context.Context) error {
+		select {
+		case <-group.Done(): // another actor failed
+			return nil
+		case <-ctx.Done():
+		}
+
+		return trace.Wrap(d.drain.Run())
+	})
+	d.logger.Info().Str("event", "started").Str("caller_address", d.CallerAddress()).Str("peer_address", d.PeerAddress()).
+		Str("failure_domain", d.settings.FailureDomain).Msg("daemon started")
+
+	err := d.group.Run()
+
+	d.logger.Info().Err(err).Str("event", "stopped").Msg("daemon stopped")
+
+	return trace.Wrap(err)
+}
+
+// reload logs that the settings file changed. Its addresses cannot change while the process runs.
+func (d *Routed) reload(ctx context.Context) error {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+
+	defer signal.Stop(c)
+
+	for {
+		select {
+		case <-c:
+			d.logger.Info().Str("event", "reload").Msg("settings are read at the next start")
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// CallerAddress returns the address of the listener for callers.
+func (d *Routed) CallerAddress() string { return d.listeners[0].Addr().String() }
+
+// OperatorAddress returns the address of the listener for operators.
+func (d *Routed) OperatorAddress() string { return d.listeners[1].Addr().String() }
+
+// PeerAddress returns the address of the listener for other daemons.
+func (d *Routed) PeerAddress() string { return d.listeners[2].Addr().String() }
+
+// Ready reports whether the daemon takes requests.
+func (d *Routed) Ready() (bool, string) {
+	switch {
+	case d.drain.Phase() != drain.Serving:
+		return false, "the daemon is shutting down"
+	case d.routes.Table() == nil:
+		return false, "no version of the routes is known"
+	case !d.targets.Known():
+		return false, "no target is known"
+	case !d.batches.Loaded():
+		return false, "the batch jobs are not loaded"
+	default:
+		return true, ""
+	}
+}
--- /dev/null
+++ b/daemon/watch.go
@@ -0,0 +1,90 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/agategap/agategap/filter"
+	"github.com/agategap/agategap/outcome"
+)
+
+// watch counts what is decided about requests, and logs the steps of those that do not go well.
+type watch struct {
+	logger  zerolog.Logger
+	metrics *metrics
+}
+
+func newWatch(z zerolog.Logger, m *metrics) *watch { return &watch{logger: z, metrics: m} }
+
+// Watch takes a step.
+func (w *watch) Watch(r *filter.Request, s filter.Step) {
+	w.metrics.step(r, s)
+
+	e := w.logger.Debug()
+	if s.Err() != nil || s.Attempt() > 0 {
+		e = w.logger.Info()
+	}
+
+	if !e.Enabled() {
+		return
+	}
+
+	e = e.Str("event", s.Name()).Str("request", r.ID()).Str("class", r.Class().String()).Str("service", r.TargetService()).
+		Str("route", r.Route().Name()).Int("attempt", s.Attempt()).Int("last_event", s.LastEvent()).
+		Int64("age_ms", s.Age().Milliseconds())
+
+	if s.Target() != "" {
+		e = e.Str("target", s.Target())
+	}
+
+	if s.Err() != nil {
+		o := outcome.From(s.Err())
+		e = e.Err(s.Err()).Str("code", string(o.Code())).Str("effect", string(o.Effect()))
+	}
+
+	if s.Cause() != nil {
+		e = e.Str("caller", s.Cause().Error())
+	}
+
+	e.Msg("a step of a request")
+}
+
+// step counts a step.
+func (m *metrics) step(r *filter.Request, s filter.Step) {
+	code := "ok"
+	if s.Err() != nil {
+		code = string(outcome.From(s.Err()).Code())
+	}
+
+	m.scope.Tagged(map[string]string{"step": s.Name(), "class": r.Class().String(), "code": code}).Counter("steps").Inc(1)
+
+	if s.Name() == "completed" {
+		m.scope.Tagged(map[string]string{"class": r.Class().String()}).Timer("request_time").Record(s.Age())
+	}
+}
+
+// dumpSlots returns the load of the services whose slots this daemon hands out.
+func (d *Routed) dumpSlots() any {
+	m := map[string]map[string]int{}
+
+	for n, u := range d.owner.Usage() {
+		used, all := u.Slots()
+		online, batch := u.Waiting()
+		m[n] = map[string]int{"used": used, "slots": all, "online_waiting": online, "batch_waiting": batch}
+	}
+
+	return m
+}
+
+// dumpPeers returns the other daemons.
+func (d *Routed) dumpPeers() any {
+	return map[string]any{"live": d.mesh.Table().Live(time.Now()), "known": d.mesh.Table().Known(time.Now())}
+}
+
+// dumpJobs returns the numbers of jobs, results and items that run here.
+func (d *Routed) dumpJobs() any {
+	j, r := d.batches.Count()
+
+	return map[string]any{"jobs": j, "results": r, "running": d.runner.Running()}
+}
--- a/filter/event.go
+++ b/filter/event.go
@@ -18,6 +18,7 @@
 	kind        EventKind
 	status      int
 	contentType string
+	header      map[string][]string
 	index       int
 	data        []byte
 	text        string
@@ -31,6 +32,16 @@
 	return Event{requestID: id, kind: Head, status: status, contentType: contentType}
 }
 
+// WithHeader returns a copy of a Head with the target's header, which must not be changed.
+func (e Event) WithHeader(h map[string][]string) Event {
+	e.header = h
+
+	return e
+}
+
+// Header returns the target's header of a Head; nil when the front end makes its own.
+func (e Event) Header() map[string][]string { return e.header }
+
 // NewChunk returns part number index (from 0) of the answer to request id. data holds the bytes as the
 // target sent them, text the generated text in them.
 func NewChunk(id string, index int, data []byte, text string) Event {
--- a/filter/model.go
+++ b/filter/model.go
@@ -1,6 +1,10 @@
 package filter
 
-import "time"
+import (
+	"time"
+
+	"github.com/agategap/agategap/pool"
+)
 
 // Account is the caller's account as far as the chain needs it.
 type Account struct {
@@ -117,6 +121,7 @@
 	tokens     int
 	ok         bool
 	whole      bool
+	fault      pool.Fault
 }
 
 // NewObservation returns an observation. firstToken is the time to the first chunk, perToken the mean time
@@ -147,6 +152,16 @@
 // Whole reports whether the whole answer came.
 func (o Observation) Whole() bool { return o.whole }
 
+// WithFault returns a copy that says what the attempt showed of the target.
+func (o Observation) WithFault(f pool.Fault) Observation {
+	o.fault = f
+
+	return o
+}
+
+// Fault returns what the attempt showed of the target.
+func (o Observation) Fault() pool.Fault { return o.fault }
+
 // OK reports whether the target did its part.
 func (o Observation) OK() bool { return o.ok }
 
--- a/filter/order.go
+++ b/filter/order.go
@@ -54,3 +54,14 @@
 		NewVerify(),
 	)
 }
+
+// RoutedChain returns the chain of requests that are passed on as they came, to the service of the route that their
+// host and path match. Such requests carry no credential, and nothing about them is recorded.
+func RoutedChain(t Routes, r Router, clock func() time.Time, w Watcher, last Handler) *Chain {
+	return New(last, NewMatch(t), NewRelay(r, clock, w))
+}
+
+// ItemChain returns the chain of the items of batch jobs on such routes. Their route is matched before.
+func ItemChain(r Router, clock func() time.Time, w Watcher, last Handler) *Chain {
+	return New(last, NewRelay(r, clock, w))
+}
--- a/filter/request.go
+++ b/filter/request.go
@@ -1,6 +1,10 @@
 package filter
 
-import "time"
+import (
+	"time"
+
+	"github.com/agategap/agategap/routing"
+)
 
 // Kind is the form of a request, which decides how its answer is verified and encoded.
 type Kind uint8
@@ -48,6 +52,7 @@
 	MaxTokens  int           // bound on the answer in tokens; 0 if none was given
 	Timeout    time.Duration // time that the caller gives; 0 for the service's own
 	Arrived    time.Time     // time of arrival
+	Call       Call          // a request that is passed on as it came; its zero value for others
 }
 
 // Request is one request on its way through the chain.
@@ -64,6 +69,9 @@
 	sent     bool
 	prefer   string
 	resumes  bool
+	route    routing.Route
+	after    int
+	due      time.Time
 }
 
 // NewRequest returns a request of class Online.
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,279 @@
+// Package fleet decides which targets may get work, from the entries that targets keep in the platform's log. It takes
+// the time as an argument and does no input or output.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/agategap/agategap/shard"
+)
+
+// registryShards is the number of shards of the registry; more than the cores of an entry VM.
+const registryShards = 8
+
+// lapseHold is how long an entry that vanished around an outage of the log still counts. Live targets write their
+// entries again within about two seconds of its return.
+const lapseHold = 2 * time.Second
+
+// Target is a target as its entry describes it.
+type Target struct {
+	name, address, domain, service, release string
+	slots                                   int
+	started                                 int64
+	leaving                                 bool
+}
+
+// NewTarget returns a target that serves at an IP number with a port and runs slots requests at a time.
+func NewTarget(name, address, domain, service string, slots int) Target {
+	return Target{name: name, address: address, domain: domain, service: service, slots: slots}
+}
+
+// WithRelease returns a copy with the version of the target's software.
+func (t Target) WithRelease(v string) Target {
+	t.release = v
+
+	return t
+}
+
+// WithStart returns a copy with the time of the target's start, in Unix milliseconds. Another start under the same
+// name is another incarnation.
+func (t Target) WithStart(ms int64) Target {
+	t.started = ms
+
+	return t
+}
+
+// AsLeaving returns a copy that gets nothing new.
+func (t Target) AsLeaving() Target {
+	t.leaving = true
+
+	return t
+}
+
+// Name returns the target's name.
+func (t Target) Name() string { return t.name }
+
+// Address returns the IP number and port.
+func (t Target) Address() string { return t.address }
+
+// Domain returns the failure domain.
+func (t Target) Domain() string { return t.domain }
+
+// Service returns the service that the target runs.
+func (t Target) Service() string { return t.service }
+
+// Slots returns the number of requests that the target runs at a time.
+func (t Target) Slots() int { return t.slots }
+
+// Start returns the time of the target's start, in Unix milliseconds; 0 when it is not known.
+func (t Target) Start() int64 { return t.started }
+
+// Leaving reports whether the target gets nothing new.
+func (t Target) Leaving() bool { return t.leaving }
+
+// Registry has the entries of all targets. The zero value is empty and ready to use.
+type Registry struct {
+	shards [registryShards]registryShard
+
+	mu      sync.Mutex
+	known   bool
+	changed chan struct{}
+	outage  time.Time // when the log was last known to be unavailable
+	down    bool
+}
+
+type registryShard struct {
+	mu      sync.Mutex
+	entries map[string]entry
+}
+
+// entry is a target's entry. lapsed is when it vanished around an outage of the log; zero while it stands.
+type entry struct {
+	target Target
+	offset int64
+	lapsed time.Time
+}
+
+func (r *Registry) shard(name string) *registryShard {
+	return &r.shards[shard.Index(name, registryShards)]
+}
+
+// Changed returns a channel that is closed at the next change.
+func (r *Registry) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if r.changed == nil {
+		r.changed = make(chan struct{})
+	}
+
+	return r.changed
+}
+
+func (r *Registry) notify() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.known = true
+
+	if r.changed != nil {
+		close(r.changed)
+		r.changed = nil
+	}
+}
+
+// Read records that all entries were read once, even if there are none.
+func (r *Registry) Read() { r.notify() }
+
+// Known reports whether the entries were read at least once.
+func (r *Registry) Known() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.known
+}
+
+// Outage records whether the log is available. Entries that vanish during an outage or soon after it are held for a
+// while, as live targets write theirs again.
+func (r *Registry) Outage(down bool, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if down || r.down {
+		r.outage = now
+	}
+
+	r.down = down
+}
+
+// lapses reports whether an entry that vanishes now may belong to a live target.
+func (r *Registry) lapses(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.down || !r.outage.IsZero() && now.Sub(r.outage) < lapseHold
+}
+
+// Put records the entry of a target at an offset of the log. Older entries are ignored.
+func (r *Registry) Put(t Target, offset int64) {
+	h := r.shard(t.name)
+
+	h.mu.Lock()
+	e, ok := h.entries[t.name]
+	newer := !ok || offset > e.offset
+
+	if newer {
+		if h.entries == nil {
+			h.entries = map[string]entry{}
+		}
+
+		h.entries[t.name] = entry{target: t, offset: offset}
+	}
+	h.mu.Unlock()
+
+	if newer {
+		r.notify()
+	}
+}
+
+// Remove records that the entry of a target is gone.
+func (r *Registry) Remove(name string, offset int64, now time.Time) {
+	lapsed := r.lapses(now)
+	h := r.shard(name)
+
+	h.mu.Lock()
+	if e, ok := h.entries[name]; ok && offset > e.offset {
+		if lapsed && !e.target.leaving {
+			e.lapsed, e.offset = now, offset
+			h.entries[name] = e
+		} else {
+			delete(h.entries, name)
+		}
+	}
+	h.mu.Unlock()
+
+	r.notify()
+}
+
+// Names returns the names of all entries, also of those that have lapsed.
+func (r *Registry) Names() []string {
+	var l []string
+
+	for i := range r.shards {
+		h := &r.shards[i]
+
+		h.mu.Lock()
+		for n := range h.entries {
+			l = append(l, n)
+		}
+		h.mu.Unlock()
+	}
+
+	return l
+}
+
+// Find returns the target with a name if it may get work.
+func (r *Registry) Find(name string, now time.Time) (Target, bool) {
+	h := r.shard(name)
+
+	h.mu.Lock()
+	e, ok := h.entries[name]
+	h.mu.Unlock()
+
+	return e.target, ok && r.usable(e, now)
+}
+
+func (r *Registry) usable(e entry, now time.Time) bool {
+	if e.target.leaving {
+		return false
+	}
+
+	if e.lapsed.IsZero() {
+		return true
+	}
+
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if r.down {
+		return true
+	}
+
+	since := e.lapsed
+	if r.outage.After(since) {
+		since = r.outage
+	}
+
+	return now.Sub(since) < lapseHold
+}
+
+// Usable returns the targets of a service that may get work, in order of name.
+func (r *Registry) Usable(service string, now time.Time) []Target {
+	var l []Target
+
+	for i := range r.shards {
+		h := &r.shards[i]
+
+		h.mu.Lock()
+		var s []entry
+		for _, e := range h.entries {
+			if e.target.service == service {
+				s = append(s, e)
+			}
+		}
+		h.mu.Unlock()
+
+		for _, e := range s {
+			if r.usable(e, now) {
+				l = append(l, e.target)
+			}
+		}
+	}
+
+	slices.SortFunc(l, func(a, b Target) int { return cmp.Compare(a.name, b.name) })
+
+	return l
+}
--- a/internal/cmd/cmd_serve.go
+++ b/internal/cmd/cmd_serve.go
@@ -36,7 +36,7 @@
 			return err
 		}
 
-		d, err := daemon.New(s, logger(e, s.LogLevel))
+		d, err := newDaemon(s, e)
 		if err != nil {
 			return err
 		}
@@ -45,6 +45,21 @@
 	},
 }
 
+// runner is a daemon with the interface that the settings ask for.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+func newDaemon(s settings.Daemon, e Env) (runner, error) {
+	if s.Interface == settings.InterfaceRouted {
+		e.err = e.out // the log goes to standard output
+
+		return daemon.NewRouted(s, logger(e, s.LogLevel))
+	}
+
+	return daemon.New(s, logger(e, s.LogLevel))
+}
+
 func readSettings(path string) (settings.Daemon, error) {
 	b, err := readFile(path)
 	if err != nil {
--- /dev/null
+++ b/mesh/table.go
@@ -0,0 +1,263 @@
+// Package mesh decides which other daemons are live, from the answers to heartbeats. Daemons find each other through
+// their records in the platform's log, and through the seeds of their settings while the log is down.
+package mesh
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/agategap/agategap/shard"
+)
+
+const (
+	// tableShards is the number of shards of the table; more than the cores of an entry VM.
+	tableShards = 8
+	// silentAfter is the time without an answer after which a daemon is thought lost, in heartbeat intervals.
+	silentAfter = 3
+	// leastInterval is the time between two heartbeats to a daemon while there are few of them.
+	leastInterval = 250 * time.Millisecond
+	// perPeer lengthens the interval with the number of daemons, so that each sends at most 50 heartbeats a second.
+	perPeer = 20 * time.Millisecond
+	// forgetAfter is the time after which a daemon that does not answer is forgotten. Its record brings it back.
+	forgetAfter = 2 * time.Minute
+)
+
+// Peer is a daemon. It is part of messages between daemons, so that its fields are exported for the codec.
+type Peer struct {
+	VM      string `msgpack:"vm"`
+	Address string `msgpack:"address"` // IP number and port for other daemons
+	Domain  string `msgpack:"domain"`  // failure domain
+	Start   int64  `msgpack:"start"`   // start of the process, Unix milliseconds; tells incarnations apart
+	Leaving bool   `msgpack:"leaving"` // the daemon is shutting down
+}
+
+// Table is what one daemon knows of the others. It is safe for concurrent use.
+type Table struct {
+	mu     sync.Mutex
+	self   Peer
+	shards [tableShards]tableShard
+}
+
+type tableShard struct {
+	mu    sync.Mutex
+	peers map[string]*state
+}
+
+// state is what is known of one daemon.
+type state struct {
+	peer   Peer
+	heard  time.Time // last answer
+	added  time.Time
+	failed bool // the last call failed, and none succeeded since
+}
+
+// New returns the table of a daemon that knows only itself.
+func New(self Peer) *Table { return &Table{self: self} }
+
+// Self returns this daemon.
+func (t *Table) Self() Peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	return t.self
+}
+
+// Leave makes this daemon report itself as leaving.
+func (t *Table) Leave() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.self.Leaving = true
+}
+
+func (t *Table) shard(vm string) *tableShard { return &t.shards[shard.Index(vm, tableShards)] }
+
+// Learn records that a daemon exists, without a sign that it is live. It reports whether it was unknown.
+func (t *Table) Learn(p Peer, now time.Time) bool {
+	if p.VM == "" || p.VM == t.Self().VM {
+		return false
+	}
+
+	h := t.shard(p.VM)
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	s, ok := h.peers[p.VM]
+	if ok && p.Start < s.peer.Start {
+		return false
+	}
+
+	if ok && p.Start == s.peer.Start {
+		s.peer.Leaving = s.peer.Leaving || p.Leaving
+
+		return false
+	}
+
+	if h.peers == nil {
+		h.peers = map[string]*state{}
+	}
+
+	h.peers[p.VM] = &state{peer: p, added: now}
+
+	return true
+}
+
+// Heard records that a daemon answered a call.
+func (t *Table) Heard(p Peer, now time.Time) {
+	t.Learn(p, now)
+
+	h := t.shard(p.VM)
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if s, ok := h.peers[p.VM]; ok && s.peer.Start == p.Start {
+		s.heard, s.failed = now, false
+		s.peer.Leaving = s.peer.Leaving || p.Leaving
+	}
+}
+
+// Failed records that a daemon did not answer a call. It counts as lost until it answers one.
+func (t *Table) Failed(vm string) {
+	h := t.shard(vm)
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if s, ok := h.peers[vm]; ok {
+		s.failed = true
+	}
+}
+
+// Remove forgets a daemon that ended.
+func (t *Table) Remove(vm string) {
+	h := t.shard(vm)
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	delete(h.peers, vm)
+}
+
+func (t *Table) each(f func(s state)) {
+	for i := range t.shards {
+		h := &t.shards[i]
+
+		h.mu.Lock()
+		l := make([]state, 0, len(h.peers))
+		for _, s := range h.peers {
+			l = append(l, *s)
+		}
+		h.mu.Unlock()
+
+		for _, s := range l {
+			f(s)
+		}
+	}
+}
+
+// Known returns the other daemons, live or not, in order of name. Those that have not answered for long are forgotten.
+func (t *Table) Known(now time.Time) []Peer {
+	var l []Peer
+
+	t.each(func(s state) {
+		if now.Sub(s.heard) > forgetAfter && now.Sub(s.added) > forgetAfter {
+			t.Remove(s.peer.VM)
+
+			return
+		}
+
+		l = append(l, s.peer)
+	})
+
+	slices.SortFunc(l, func(a, b Peer) int { return cmp.Compare(a.VM, b.VM) })
+
+	return l
+}
+
+// Live returns the other daemons that answer and are not leaving, in order of name.
+func (t *Table) Live(now time.Time) []Peer {
+	var l []Peer
+
+	n := 0
+	t.each(func(state) { n++ })
+
+	t.each(func(s state) {
+		if !s.failed && !s.peer.Leaving && now.Sub(s.heard) <= silentAfter*Interval(n) {
+			l = append(l, s.peer)
+		}
+	})
+
+	slices.SortFunc(l, func(a, b Peer) int { return cmp.Compare(a.VM, b.VM) })
+
+	return l
+}
+
+// Alive reports whether the process of a VM that started at a time is thought live, leaving or not. This daemon is.
+func (t *Table) Alive(vm string, start int64, now time.Time) bool {
+	if v := t.Self(); v.VM == vm {
+		return v.Start == start
+	}
+
+	n := 0
+	t.each(func(state) { n++ })
+
+	h := t.shard(vm)
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	s, ok := h.peers[vm]
+
+	return ok && s.peer.Start == start && now.Sub(s.heard) <= silentAfter*Interval(n)
+}
+
+// Ranked returns the daemons that may do a duty, the first choice first. This daemon is among them unless it is
+// leaving and another one is live.
+func (t *Table) Ranked(duty string, now time.Time) []Peer {
+	l := t.Live(now)
+	if v := t.Self(); !v.Leaving || len(l) == 0 {
+		l = append(l, v)
+	}
+
+	m := make(map[string]Peer, len(l))
+	n := make([]string, len(l))
+
+	for i, p := range l {
+		m[p.VM], n[i] = p, p.VM
+	}
+
+	for i, vm := range shard.Rank(duty, n) {
+		l[i] = m[vm]
+	}
+
+	return l
+}
+
+// Digest returns a number that differs between tables that know different daemons.
+func (t *Table) Digest() uint64 {
+	var d uint64
+
+	add := func(p Peer) {
+		var x xxhash.Digest
+
+		x.Reset()
+		_, _ = x.WriteString(p.VM)
+		_, _ = x.WriteString(time.UnixMilli(p.Start).UTC().Format(time.RFC3339Nano))
+
+		d ^= x.Sum64()
+	}
+
+	add(t.Self())
+	t.each(func(s state) { add(s.peer) })
+
+	return d
+}
+
+// Interval returns the time between two heartbeats to a daemon among n others.
+func Interval(n int) time.Duration { return max(leastInterval, time.Duration(n)*perPeer) }
--- /dev/null
+++ b/pool/pool.go
@@ -0,0 +1,479 @@
+// Package pool decides which target of a service runs which request: online requests before batch items, in the order
+// in which they are due, and batch items give their slots back when online requests wait. It takes the time as an
+// argument and does no input or output.
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Class orders work.
+type Class uint8
+
+const (
+	// Online work has a caller who waits.
+	Online Class = iota
+	// Batch work runs in the slots that online work leaves.
+	Batch
+)
+
+// Fault says what a request showed of its target.
+type Fault uint8
+
+const (
+	// None means that the target did its part.
+	None Fault = iota
+	// Full means that the target refused the request, as all its places were taken.
+	Full
+	// Broken means that the target broke off or spoiled an answer.
+	Broken
+	// Unreachable means that the target did not take a connection or fell silent.
+	Unreachable
+	// Unused means that nothing was sent, so that nothing is known.
+	Unused
+)
+
+const (
+	// fullPause keeps new work from a target that refused some. It covers a few steps of an engine.
+	fullPause = 30 * time.Millisecond
+	// suspectFaults is the number of broken answers in a row from which a target is set aside. Single spoiled answers
+	// are no reason, as most of its other requests succeed.
+	suspectFaults = 3
+	// suspectPause keeps work from a target that is set aside; after it, one request at a time tries the target. The
+	// pause doubles with each failure up to suspectMost, so that a target that comes back is found within a second.
+	suspectPause = 250 * time.Millisecond
+	suspectMost  = time.Second
+	// settle is the age from which a lease that its holder no longer reports is taken as released. It covers the
+	// messages that are on their way.
+	settle = 400 * time.Millisecond
+	// holderSilence is the time without a report after which a holder's leases are taken as released.
+	holderSilence = 2500 * time.Millisecond
+	// releaseMemory is how long a released lease is remembered, so that an older report does not bring it back.
+	releaseMemory = time.Second
+)
+
+// Target is a target of the service as the pool needs it.
+type Target struct {
+	name, domain string
+	slots        int
+}
+
+// NewTarget returns a target in a failure domain with a number of slots.
+func NewTarget(name, domain string, slots int) Target {
+	return Target{name: name, domain: domain, slots: slots}
+}
+
+// Demand is a request that asks for a slot.
+type Demand struct {
+	id, holder, domain string
+	class              Class
+	rank               int
+	due                time.Time
+	avoid              []string
+	prefer             string
+}
+
+// NewDemand returns a demand of a daemon in a failure domain. Demands of a class are served by rank, then in the order
+// in which they are due.
+func NewDemand(id, holder, domain string, c Class, rank int, due time.Time) Demand {
+	return Demand{id: id, holder: holder, domain: domain, class: c, rank: rank, due: due}
+}
+
+// Avoiding returns a copy that is not to be served by some targets.
+func (d Demand) Avoiding(names []string) Demand {
+	d.avoid = names
+
+	return d
+}
+
+// Preferring returns a copy that goes to a target when it has a free slot.
+func (d Demand) Preferring(name string) Demand {
+	d.prefer = name
+
+	return d
+}
+
+// ID returns the identifier, unique among all daemons.
+func (d Demand) ID() string { return d.id }
+
+// Lease is a slot that a daemon holds.
+type Lease struct {
+	id, holder, target string
+	class              Class
+	due                time.Time
+	since              time.Time
+	yielding           bool
+}
+
+// NewLease returns a lease as its holder reports it.
+func NewLease(id, holder, target string, c Class, due time.Time) Lease {
+	return Lease{id: id, holder: holder, target: target, class: c, due: due}
+}
+
+// ID returns the identifier of the demand.
+func (l Lease) ID() string { return l.id }
+
+// Holder returns the daemon that holds the slot.
+func (l Lease) Holder() string { return l.holder }
+
+// Target returns the name of the target.
+func (l Lease) Target() string { return l.target }
+
+// Actions are what a call decided: demands that got a slot, and leases whose holders are to give them back.
+type Actions struct {
+	grants []Lease
+	yields []Lease
+}
+
+// Grants returns the slots that were given to demands that waited.
+func (a Actions) Grants() []Lease { return a.grants }
+
+// Yields returns the batch leases that are to be given back.
+func (a Actions) Yields() []Lease { return a.yields }
+
+// Pool has the slots of one service. The zero value has no targets and is ready to use.
+type Pool struct {
+	mu       sync.Mutex
+	targets  map[string]*place
+	leases   map[string]*Lease
+	holders  map[string]time.Time
+	released map[string]time.Time
+	waiting  []Demand
+}
+
+// place is a target with its load.
+type place struct {
+	target Target
+	used   int
+	until  time.Time // no new work before this time
+	faults int       // failures in a row
+}
+
+// SetTargets replaces the targets. What is known of those that stay is kept.
+func (p *Pool) SetTargets(l []Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	m := make(map[string]*place, len(l))
+
+	for _, t := range l {
+		v, ok := p.targets[t.name]
+		if !ok {
+			v = &place{}
+
+			for _, e := range p.leases {
+				if e.target == t.name {
+					v.used++
+				}
+			}
+		}
+
+		v.target = t
+		m[t.name] = v
+	}
+
+	p.targets = m
+}
+
+// Ask asks for a slot. The demand waits when the actions have no grant for it. A demand that is repeated, as its grant
+// may have been lost, gets the same slot again.
+func (p *Pool) Ask(d Demand, now time.Time) Actions {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if e, ok := p.leases[d.id]; ok {
+		return Actions{grants: []Lease{*e}}
+	}
+
+	p.waiting = slices.DeleteFunc(p.waiting, func(w Demand) bool { return w.id == d.id })
+
+	i, _ := slices.BinarySearchFunc(p.waiting, d, compare)
+	p.waiting = slices.Insert(p.waiting, i, d)
+
+	return p.decide(now)
+}
+
+// Withdraw ends a demand that waits.
+func (p *Pool) Withdraw(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.waiting = slices.DeleteFunc(p.waiting, func(d Demand) bool { return d.id == id })
+}
+
+// Release gives a slot back and says what its request showed of the target.
+func (p *Pool) Release(id, target string, f Fault, now time.Time) Actions {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if p.released == nil {
+		p.released = map[string]time.Time{}
+	}
+
+	p.released[id] = now
+	p.drop(id)
+
+	if v, ok := p.targets[target]; ok {
+		v.observe(f, now)
+	}
+
+	return p.decide(now)
+}
+
+// observe records what a request showed.
+func (v *place) observe(f Fault, now time.Time) {
+	switch f {
+	case None:
+		v.faults, v.until = 0, time.Time{}
+	case Full:
+		v.hold(now.Add(fullPause))
+	case Broken:
+		v.faults++
+		v.suspend(now)
+	case Unreachable:
+		v.faults = max(suspectFaults, v.faults+1)
+		v.suspend(now)
+	}
+}
+
+// suspend keeps work from a target that is set aside.
+func (v *place) suspend(now time.Time) {
+	if n := v.faults - suspectFaults; n >= 0 {
+		v.hold(now.Add(min(suspectMost, suspectPause<<min(n, 4)))) //nolint:mnd // 16 times is above suspectMost
+	}
+}
+
+// suspect reports whether the target was set aside and has not succeeded since.
+func (v *place) suspect() bool { return v.faults >= suspectFaults }
+
+func (v *place) hold(t time.Time) {
+	if t.After(v.until) {
+		v.until = t
+	}
+}
+
+// Report replaces what is known of a daemon's leases by its own list.
+func (p *Pool) Report(holder string, held []Lease, now time.Time) Actions {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if p.holders == nil {
+		p.holders = map[string]time.Time{}
+	}
+
+	p.holders[holder] = now
+
+	known := make(map[string]bool, len(held))
+
+	for _, e := range held {
+		known[e.id] = true
+
+		if _, ok := p.leases[e.id]; ok || !p.released[e.id].IsZero() {
+			continue
+		}
+
+		e.since = now
+		p.add(e)
+	}
+
+	for id, e := range p.leases {
+		if e.holder == holder && !known[id] && now.Sub(e.since) > settle {
+			p.drop(id)
+		}
+	}
+
+	return p.decide(now)
+}
+
+// Expire drops the leases and demands of daemons that have been silent, and forgets old releases. Targets whose pause
+// is over get work again.
+func (p *Pool) Expire(now time.Time) Actions {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	for h, t := range p.holders {
+		if now.Sub(t) > holderSilence {
+			delete(p.holders, h)
+		}
+	}
+
+	for id, e := range p.leases {
+		if _, ok := p.holders[e.holder]; !ok && now.Sub(e.since) > holderSilence {
+			p.drop(id)
+		}
+	}
+
+	for id, t := range p.released {
+		if now.Sub(t) > releaseMemory {
+			delete(p.released, id)
+		}
+	}
+
+	return p.decide(now)
+}
+
+// Usage returns the slots in use and the slots in all.
+func (p *Pool) Usage() (used, all int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	for _, v := range p.targets {
+		used += v.used
+		all += v.target.slots
+	}
+
+	return used, all
+}
+
+// Waiting returns the number of demands of a class that wait.
+func (p *Pool) Waiting(c Class) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	n := 0
+
+	for _, d := range p.waiting {
+		if d.class == c {
+			n++
+		}
+	}
+
+	return n
+}
+
+func compare(a, b Demand) int {
+	return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.rank, b.rank), a.due.Compare(b.due), cmp.Compare(a.id, b.id))
+}
+
+func (p *Pool) add(e Lease) {
+	if p.leases == nil {
+		p.leases = map[string]*Lease{}
+	}
+
+	p.leases[e.id] = &e
+
+	if v, ok := p.targets[e.target]; ok {
+		v.used++
+	}
+}
+
+func (p *Pool) drop(id string) {
+	e, ok := p.leases[id]
+	if !ok {
+		return
+	}
+
+	delete(p.leases, id)
+
+	if v, ok := p.targets[e.target]; ok {
+		v.used--
+	}
+}
+
+// decide serves the demands that wait, in order, and asks for batch leases back for the online demands that get none.
+func (p *Pool) decide(now time.Time) Actions {
+	var a Actions
+
+	rest := p.waiting[:0]
+	starved := 0
+
+	for _, d := range p.waiting {
+		v := p.choose(d, now)
+		if v == nil {
+			rest = append(rest, d)
+
+			if d.class == Online {
+				starved++
+			}
+
+			continue
+		}
+
+		e := Lease{id: d.id, holder: d.holder, target: v.target.name, class: d.class, due: d.due, since: now}
+		p.add(e)
+		a.grants = append(a.grants, e)
+
+		if v.suspect() {
+			v.hold(now.Add(suspectPause))
+		}
+	}
+
+	clear(p.waiting[len(rest):])
+	p.waiting = rest
+
+	if starved > 0 {
+		a.yields = p.yield(starved)
+	}
+
+	return a
+}
+
+// choose returns the target for a demand: a preferred one, then one of its own failure domain, then the one with the
+// smallest share of its slots in use. A suspect target is tried only when no other one is free.
+func (p *Pool) choose(d Demand, now time.Time) *place {
+	var best *place
+
+	for _, v := range p.targets {
+		if v.used >= v.target.slots || v.until.After(now) || slices.Contains(d.avoid, v.target.name) {
+			continue
+		}
+
+		if best == nil || v.before(best, d) {
+			best = v
+		}
+	}
+
+	return best
+}
+
+func (v *place) before(o *place, d Demand) bool {
+	if a, b := v.target.name == d.prefer, o.target.name == d.prefer; a != b {
+		return a
+	}
+
+	if a, b := v.suspect(), o.suspect(); a != b {
+		return b
+	}
+
+	if a, b := v.target.domain == d.domain, o.target.domain == d.domain; a != b {
+		return a
+	}
+
+	if a, b := v.used*o.target.slots, o.used*v.target.slots; a != b {
+		return a < b
+	}
+
+	return v.target.name < o.target.name
+}
+
+// yield returns batch leases to be given back, the least urgent first, so that as many are on their way back as
+// online demands wait.
+func (p *Pool) yield(n int) []Lease {
+	var l []*Lease
+
+	for _, e := range p.leases {
+		if e.class != Batch {
+			continue
+		}
+
+		if e.yielding {
+			n--
+		} else if v, ok := p.targets[e.target]; ok && !v.suspect() {
+			l = append(l, e)
+		}
+	}
+
+	slices.SortFunc(l, func(a, b *Lease) int { return cmp.Or(b.due.Compare(a.due), cmp.Compare(a.id, b.id)) })
+
+	var r []Lease
+
+	for _, e := range l[:max(0, min(n, len(l)))] {
+		e.yielding = true
+		r = append(r, *e)
+	}
+
+	return r
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -31,10 +31,21 @@
 	ReadTimeout  tomlfile.Duration `toml:"read_timeout"`  // bound on reading a caller's request
 	WriteTimeout tomlfile.Duration `toml:"write_timeout"` // bound on each write to a caller, not on the whole response
 
+	Interface string `toml:"interface"` // openai, or routed for requests that are passed on by host and path
+	Store     Store  `toml:"store"`     // bounds of the platform's store; only for the interface routed
+
 	CallerTLS TLS `toml:"caller_tls"` // TLS of the listener for callers
 	PeerTLS   TLS `toml:"peer_tls"`   // TLS between daemons, on both sides
 }
 
+// Store has the bounds of the platform's store and what is kept in it.
+type Store struct {
+	Partitions    int               `toml:"partitions"`     // partitions of the stream of batch jobs; cannot be changed while jobs are in it
+	RecordBytes   int               `toml:"record_bytes"`   // largest record
+	CallBytes     int               `toml:"call_bytes"`     // largest append
+	KeepResults   tomlfile.Duration `toml:"keep_results"`   // how long the results of a finished job stay readable after its submission
+}
+
 // TLS names the files of one listener. Without a certificate the listener is not encrypted. The files are read
 // again when they change.
 type TLS struct {
@@ -74,6 +85,12 @@
 		d.Policy = "owner"
 	}
 
+	if !x.Has("interface") {
+		d.Interface = InterfaceOpenAI
+	}
+
+	d.Store.setDefaults(x)
+
 	for _, v := range []struct {
 		key     string
 		value   *tomlfile.Duration
@@ -82,6 +99,7 @@
 		{"drain_wait", &d.DrainWait, defaultDrainWait},
 		{"drain_most", &d.DrainMost, defaultDrainMost},
 		{"log_retention", &d.LogRetention, defaultLogRetention},
+		{"store.keep_results", &d.Store.KeepResults, defaultKeepResults},
 		{"read_timeout", &d.ReadTimeout, DefaultReadTimeout},
 		{"write_timeout", &d.WriteTimeout, DefaultWriteTimeout},
 	} {
@@ -136,6 +154,8 @@
 
 	oneOf(x, l, "log_level", d.LogLevel, "debug", "info", "warn", "error")
 	oneOf(x, l, "policy", d.Policy, "round_robin", "least_loaded", "power_of_two", "owner")
+	oneOf(x, l, "interface", d.Interface, InterfaceOpenAI, InterfaceRouted)
+	d.Store.check(x, l)
 	d.DrainWait.Check(x, l, "drain_wait", 0, mostDrain)
 	d.LogRetention.Check(x, l, "log_retention", leastLogRetention, mostLogRetention)
 	d.DrainMost.Check(x, l, "drain_most", 0, mostDrain)
--- /dev/null
+++ b/target/conns.go
@@ -0,0 +1,221 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/agategap/agategap/shard"
+)
+
+const (
+	// connsShards is the number of shards of the idle connections.
+	connsShards = 16
+	// idleMost is how long a connection is kept when the target names no time.
+	idleMost = 20 * time.Second
+	// idleMargin is taken off the time that a target names, so that it does not close a connection while a request is
+	// on its way.
+	idleMargin = 500 * time.Millisecond
+	// keepAliveIdle, keepAliveInterval and keepAliveCount find connections that went silent for good.
+	keepAliveIdle     = 2 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 3
+	// readBuffer holds several events of a stream.
+	readBuffer = 4 << 10
+)
+
+// Conns keeps connections to targets between requests. The zero value is not usable; use NewConns.
+type Conns struct {
+	dialer net.Dialer
+	shards [connsShards]idleShard
+}
+
+type idleShard struct {
+	mu   sync.Mutex
+	idle map[string][]*Conn
+}
+
+// Conn is a connection to a target. It counts the bytes that were written, which tells whether a request can have run.
+type Conn struct {
+	net.Conn
+	in      *bufio.Reader
+	written int64
+	used    int
+	until   time.Time
+}
+
+// NewConns returns a keeper whose connections are set up within a time.
+func NewConns(dial time.Duration) *Conns {
+	return &Conns{dialer: net.Dialer{Timeout: dial, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+	}}}
+}
+
+// Write counts the bytes that left.
+func (c *Conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written += int64(n)
+
+	return n, err
+}
+
+// Written returns the number of bytes written since the connection was taken.
+func (c *Conn) Written() int64 { return c.written }
+
+// Reader returns the buffered reader of the connection.
+func (c *Conn) Reader() *bufio.Reader { return c.in }
+
+// Reused reports whether the connection served an earlier request.
+func (c *Conn) Reused() bool { return c.used > 0 }
+
+// Get returns an idle connection to an address, or a new one.
+func (c *Conns) Get(ctx context.Context, address string) (*Conn, error) {
+	h := &c.shards[shard.Index(address, connsShards)]
+
+	for {
+		k := h.take(address)
+		if k == nil {
+			break
+		}
+
+		if k.sound() {
+			k.written = 0
+
+			return k, nil
+		}
+
+		_ = k.Close()
+	}
+
+	n, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+
+	return &Conn{Conn: n, in: bufio.NewReaderSize(n, readBuffer)}, nil
+}
+
+// Put keeps a connection whose exchange is over. keep is the time that the target named; 0 when it named none.
+func (c *Conns) Put(address string, k *Conn, keep time.Duration) {
+	d := idleMost
+	if keep > 0 {
+		d = min(d, keep-idleMargin)
+	}
+
+	if d <= 0 || k.in.Buffered() > 0 {
+		_ = k.Close()
+
+		return
+	}
+
+	k.used++
+	k.until = time.Now().Add(d)
+
+	h := &c.shards[shard.Index(address, connsShards)]
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if h.idle == nil {
+		h.idle = map[string][]*Conn{}
+	}
+
+	h.idle[address] = append(h.idle[address], k)
+}
+
+// Prune closes connections that have been idle for too long.
+func (c *Conns) Prune(now time.Time) {
+	for i := range c.shards {
+		h := &c.shards[i]
+
+		var old []*Conn
+
+		h.mu.Lock()
+		for a, l := range h.idle {
+			rest := l[:0]
+
+			for _, k := range l {
+				if now.After(k.until) {
+					old = append(old, k)
+				} else {
+					rest = append(rest, k)
+				}
+			}
+
+			if len(rest) == 0 {
+				delete(h.idle, a)
+			} else {
+				h.idle[a] = rest
+			}
+		}
+		h.mu.Unlock()
+
+		for _, k := range old {
+			_ = k.Close()
+		}
+	}
+}
+
+// Drop closes the idle connections to an address.
+func (c *Conns) Drop(address string) {
+	h := &c.shards[shard.Index(address, connsShards)]
+
+	h.mu.Lock()
+	l := h.idle[address]
+	delete(h.idle, address)
+	h.mu.Unlock()
+
+	for _, k := range l {
+		_ = k.Close()
+	}
+}
+
+// take returns the connection that was used last, which is the least likely to be closed at the other end.
+func (h *idleShard) take(address string) *Conn {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	l := h.idle[address]
+	if len(l) == 0 {
+		return nil
+	}
+
+	k := l[len(l)-1]
+	h.idle[address] = l[:len(l)-1]
+
+	return k
+}
+
+// sound reports whether an idle connection is open and nothing was received on it. What a target sends without being
+// asked belongs to no request.
+func (c *Conn) sound() bool {
+	if time.Now().After(c.until) || c.in.Buffered() > 0 {
+		return false
+	}
+
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+
+	r, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+
+	quiet := false
+
+	err = r.Read(func(fd uintptr) bool {
+		var b [1]byte
+
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = e == syscall.EAGAIN || e == syscall.EWOULDBLOCK
+
+		return true
+	})
+
+	return err == nil && quiet
+}
