Answer reads of results only from a replica that is fresh

Change: a read that finds nothing new, and the question for a job that is not known, first read the log up to its end, unless the replica was at the end less than 300 ms ago. Readers share that read. Without the log the answer is 503.

--- a/batches/batches.go
+++ b/batches/batches.go
@@ -111,9 +111,9 @@
 	return err
 }
 
-// freshWithin is the age up to which a replica is believed about a job that it does not know. A job is known to every
-// daemon within this time of its acceptance.
-const freshWithin = 100 * time.Millisecond
+// freshWithin is the age up to which a replica is believed about what it does not have. A reader may have seen a result
+// at another daemon that heard of it earlier.
+const freshWithin = 300 * time.Millisecond
 
 // find returns the partition of a job that the replica knows, after reading up to the end of the log if it does not.
 func (b *Batches) find(ctx context.Context, id string) (*partition, error) {
@@ -126,11 +126,8 @@
 		return p, nil
 	}
 
-	if b.clock().Sub(p.follower.Fresh()) > freshWithin {
-		if err := p.follower.Sync(ctx); err != nil {
-			return nil, outcome.New(outcome.LogUnavailable, outcome.NotRun, "the log cannot be asked whether the job exists").
-				WithRetryAfter(time.Second).WithCause(err)
-		}
+	if err := p.fresh(ctx); err != nil {
+		return nil, err
 	}
 
 	if p.replica.Has(id) {
@@ -140,6 +137,16 @@
 	return nil, outcome.New(outcome.NotFound, outcome.NotRun, "no such job")
 }
 
+// fresh makes sure that the replica has what other daemons may have shown.
+func (p *partition) fresh(ctx context.Context) error {
+	if err := p.follower.Within(ctx, freshWithin); err != nil {
+		return outcome.New(outcome.LogUnavailable, outcome.NotRun, "the log cannot be asked for what is new").
+			WithRetryAfter(time.Second).WithCause(err)
+	}
+
+	return nil
+}
+
 // Page is a part of the results of a job.
 type Page struct {
 	results []batch.Result
@@ -167,24 +174,20 @@
 	end := time.NewTimer(wait)
 	defer end.Stop()
 
-	synced := false
-
-	for waiting := true; ; {
+	for synced, waiting := false, true; ; {
 		l, v, ok := p.replica.Results(id, after, most)
 		if !ok {
 			return Page{}, outcome.New(outcome.NotFound, outcome.NotRun, "no such job")
 		}
 
-		// A caller that names a position has read the result before it, so that this replica is behind.
-		if len(l) == 0 && !synced && b.behind(p, id, after) {
-			synced = true
-
-			if err := p.follower.Sync(ctx); err == nil {
-				continue
+		if len(l) == 0 && after < v.Total() && !synced {
+			if err := p.fresh(ctx); err != nil {
+				return Page{}, err
 			}
 
-			return Page{}, outcome.New(outcome.LogUnavailable, outcome.NotRun, "the log cannot be asked for the results").
-				WithRetryAfter(time.Second)
+			synced = true
+
+			continue
 		}
 
 		if len(l) > 0 || !waiting || v.Finished() {
@@ -201,17 +204,6 @@
 	}
 }
 
-// behind reports whether a replica has fewer results than a caller has read.
-func (b *Batches) behind(p *partition, id string, after int) bool {
-	if after <= 0 {
-		return false
-	}
-
-	l, _, _ := p.replica.Results(id, after-1, 1)
-
-	return len(l) == 0
-}
-
 // Body returns the body of an item that is not listed yet.
 func (b *Batches) Body(ctx context.Context, id, item string) ([]byte, error) {
 	p, err := b.find(ctx, id)
--- a/keyed/follower.go
+++ b/keyed/follower.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/agategap/agategap/stream"
 )
@@ -36,6 +37,8 @@
 const (
 	// tailWait is how long a read waits for a record. A connection that went silent is noticed after it.
 	tailWait = 2 * time.Second
+	// syncWithin bounds a read that several callers share.
+	syncWithin = 2 * time.Second
 	// retryFirst and retryMost bound the delay after a failure.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
@@ -49,6 +52,7 @@
 	sink   Sink
 	health Health
 	logger zerolog.Logger
+	syncs  singleflight.Group
 
 	mu     sync.Mutex
 	next   int64
@@ -169,6 +173,27 @@
 // Sync reads up to the end of the stream as it is now.
 func (f *Follower) Sync(ctx context.Context) error { return f.step(ctx, 0) }
 
+// Within makes sure that all records that are older than some age are applied. Calls at the same time share a read.
+func (f *Follower) Within(ctx context.Context, age time.Duration) error {
+	if time.Since(f.Fresh()) <= age {
+		return nil
+	}
+
+	c := f.syncs.DoChan("", func() (any, error) {
+		x, stop := context.WithTimeout(context.WithoutCancel(ctx), syncWithin)
+		defer stop()
+
+		return nil, f.Sync(x)
+	})
+
+	select {
+	case r := <-c:
+		return r.Err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // read applies what follows.
 func (f *Follower) read(ctx context.Context, wait time.Duration) error {
 	from, start := f.Next(), time.Now()
