Refuse at once what cannot be on time, and run late batch items last

Change: the owner of the slots refuses a request at once when its wait is expected to exceed what its objective leaves; other requests wait that long at the most. Batch items that cannot end by their due time come behind those that can, and give their slots back first. A stream that broke off asks before all others.

--- a/batches/runner.go
+++ b/batches/runner.go
@@ -63,6 +63,7 @@
 	gone    map[string]time.Time
 	leaving bool
 	wg      sync.WaitGroup
+	pace    pace
 }
 
 // run is an item that this daemon runs or is about to.
@@ -316,13 +317,14 @@
 	k := filter.NewCall(post, v.Host(), u.item.Path(), u.item.Header()).After(u.last)
 	q := filter.NewItemRequest(filter.Input{
 		ID: u.item.ID(), Path: u.item.Path(), Body: u.item.Body(), Call: k, Arrived: now,
-	}, route, v.Due(), end)
-	s := &itemSink{run: u}
+	}, route, v.Due(), end).NeedsTime(r.pace.needs(u.last))
+	s := &itemSink{run: u, pace: &r.pace, start: now}
 
 	err := r.chain.Handle(x, q, s)
 
 	switch {
 	case err == nil && s.status == statusOK:
+		r.pace.ended(u.last)
 		r.list(ctx, u, batch.NewResult(u.item.ID(), string(u.text), true), "")
 	case err == nil && s.status == statusImpossible:
 		r.list(ctx, u, batch.NewResult(u.item.ID(), "", false), "the target cannot do the item")
@@ -402,6 +404,8 @@
 type itemSink struct {
 	run    *run
 	status int
+	pace   *pace
+	start  time.Time // of the event read last
 }
 
 var errNoEvents = errors.New("the target answered an item without events")
@@ -431,6 +435,13 @@
 
 		u.text = append(u.text, e.Text()...)
 		u.last = e.Index()
+
+		now := time.Now()
+		if u.last > 1 {
+			s.pace.event(now.Sub(s.start))
+		}
+
+		s.start = now
 	}
 
 	return nil
--- a/filter/call.go
+++ b/filter/call.go
@@ -58,32 +58,75 @@
 	}
 }
 
-// Due returns the time at which the answer, or the first event of a stream, is due.
-func (r *Request) Due() time.Time {
-	switch o := r.route.Objective(); {
-	case r.class == Batch:
-		return r.due
-	case o > 0:
-		return r.in.Arrived.Add(o)
-	default:
-		return r.deadline
+// Want says how urgently a request needs a slot.
+type Want struct {
+	due       time.Time
+	wait      time.Duration
+	needs     time.Duration
+	refusable bool
+}
+
+// Due returns the time by which the work is due: the end of a batch item, or else the first event.
+func (w Want) Due() time.Time { return w.due }
+
+// Wait returns how long the request waits for a slot at the most.
+func (w Want) Wait() time.Duration { return w.wait }
+
+// Needs returns the time from the start of the work to its end; 0 when it is not known.
+func (w Want) Needs() time.Duration { return w.needs }
+
+// Refusable reports whether the request is better refused at once than kept waiting for longer than Wait.
+func (w Want) Refusable() bool { return w.refusable }
+
+const (
+	// startShare of the objective is kept for the time between the slot and the first event, which is a few tens of
+	// milliseconds on engines whose objective is a few hundred.
+	startShare = 4
+	// leastWait is the wait for a slot of a request that was offered to a target before.
+	leastWait = 100 * time.Millisecond
+	// plainWait is the wait of requests whose route has no objective.
+	plainWait = time.Second
+	// resumeWait is the wait of a stream that broke off. Callers give up a stream after a pause of two seconds.
+	resumeWait = 2 * time.Second
+)
+
+// Want returns how urgently the request needs a slot.
+func (r *Request) Want() Want {
+	if r.want.due.IsZero() {
+		return Want{due: r.deadline, wait: plainWait}
 	}
+
+	return r.want
 }
 
-// slotWaitFactor times the objective is how long an online request waits for a slot. An answer within its objective
-// is worth several times one that is late, and a request that waits longer keeps others from being on time.
-const slotWaitFactor = 2
+// wants sets how urgently the next attempt needs a slot: a stream that broke off before all others, and a request that
+// nobody has tried yet only while its answer can be on time.
+func (r *Request) wants(now time.Time, offered, passed bool) {
+	o := r.route.Objective()
 
-// leastSlotWait is the wait of requests whose route has no objective.
-const leastSlotWait = 500 * time.Millisecond
+	switch {
+	case r.class == Batch:
+		r.want = Want{due: r.due, needs: r.needs}
+	case passed:
+		r.want = Want{due: now, wait: resumeWait}
+	case o == 0:
+		r.want = Want{due: r.deadline, wait: plainWait}
+	default:
+		due := r.in.Arrived.Add(o)
+		r.want = Want{due: due, wait: due.Add(-o / startShare).Sub(now), refusable: !offered}
 
-// SlotWait returns how long the request waits for a slot at the most.
-func (r *Request) SlotWait() time.Duration {
-	if o := r.route.Objective(); o > 0 {
-		return slotWaitFactor * o
+		if offered {
+			r.want.wait = max(leastWait, r.want.wait)
+		}
 	}
+}
+
+// NeedsTime returns a copy of an item's request whose run takes some time.
+func (r *Request) NeedsTime(d time.Duration) *Request {
+	c := *r
+	c.needs = d
 
-	return leastSlotWait
+	return &c
 }
 
 // forRelay returns a copy that is sent to the target of s as attempt n, for the events behind a number.
--- a/filter/relay.go
+++ b/filter/relay.go
@@ -81,6 +81,8 @@
 
 func (x *relayed) run(ctx context.Context) error {
 	for {
+		x.request.wants(x.relay.clock(), x.refused+x.runs > 0, x.passed)
+
 		t, err := x.relay.router.Acquire(ctx, x.request, x.avoid)
 		if err != nil {
 			x.watch(ctx, "no_slot", "", err)
--- a/filter/request.go
+++ b/filter/request.go
@@ -72,6 +72,8 @@
 	route    routing.Route
 	after    int
 	due      time.Time
+	needs    time.Duration
+	want     Want
 }
 
 // NewRequest returns a request of class Online.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -51,6 +51,10 @@
 	settle = 400 * time.Millisecond
 	// holderSilence is the time without a report after which a holder's leases are taken as released.
 	holderSilence = 2500 * time.Millisecond
+	// firstDuration is taken as the time that online leases are held until some have ended.
+	firstDuration = time.Second
+	// durationWeight is the weight of one lease in the mean time that they are held.
+	durationWeight = 0.05
 	// releaseMemory is how long a released lease is remembered, so that an older report does not bring it back.
 	releaseMemory = time.Second
 )
@@ -72,6 +76,8 @@
 	class              Class
 	rank               int
 	due                time.Time
+	needs              time.Duration
+	patience           time.Duration
 	avoid              []string
 	prefer             string
 }
@@ -89,6 +95,24 @@
 	return d
 }
 
+// Needing returns a copy that takes some time from its start to its end. A batch item that cannot be done by its due
+// time any more comes behind those that can.
+func (d Demand) Needing(t time.Duration) Demand {
+	d.needs = t
+
+	return d
+}
+
+// Within returns a copy that is refused when its wait for a slot is expected to exceed some time.
+func (d Demand) Within(t time.Duration) Demand {
+	d.patience = t
+
+	return d
+}
+
+// late reports whether a batch item cannot be done by its due time any more.
+func (d Demand) late(now time.Time) bool { return d.class == Batch && now.Add(d.needs).After(d.due) }
+
 // Preferring returns a copy that goes to a target when it has a free slot.
 func (d Demand) Preferring(name string) Demand {
 	d.prefer = name
@@ -104,13 +128,14 @@
 	id, holder, target string
 	class              Class
 	due                time.Time
+	needs              time.Duration
 	since              time.Time
 	yielding           bool
 }
 
-// NewLease returns a lease as its holder reports it.
-func NewLease(id, holder, target string, c Class, due time.Time) Lease {
-	return Lease{id: id, holder: holder, target: target, class: c, due: due}
+// NewLease returns a lease as its holder reports it, whose work needs some more time.
+func NewLease(id, holder, target string, c Class, due time.Time, needs time.Duration) Lease {
+	return Lease{id: id, holder: holder, target: target, class: c, due: due, needs: needs}
 }
 
 // ID returns the identifier of the demand.
@@ -124,10 +149,14 @@
 
 // Actions are what a call decided: demands that got a slot, and leases whose holders are to give them back.
 type Actions struct {
-	grants []Lease
-	yields []Lease
+	grants  []Lease
+	yields  []Lease
+	refused bool
 }
 
+// Refused reports whether the demand of an Ask would wait for too long, and was not taken.
+func (a Actions) Refused() bool { return a.refused }
+
 // Grants returns the slots that were given to demands that waited.
 func (a Actions) Grants() []Lease { return a.grants }
 
@@ -142,6 +171,7 @@
 	holders  map[string]time.Time
 	released map[string]time.Time
 	waiting  []Demand
+	duration time.Duration // mean time that online leases are held
 }
 
 // place is a target with its load.
@@ -190,12 +220,55 @@
 
 	p.waiting = slices.DeleteFunc(p.waiting, func(w Demand) bool { return w.id == d.id })
 
+	if d.patience > 0 && p.expect(d, now) > d.patience {
+		return Actions{refused: true}
+	}
+
 	i, _ := slices.BinarySearchFunc(p.waiting, d, compare)
 	p.waiting = slices.Insert(p.waiting, i, d)
 
 	return p.decide(now)
 }
 
+// expect returns how long an online demand is expected to wait: not at all when a slot is free or can be given back,
+// and else until enough of the online leases before it have ended.
+func (p *Pool) expect(d Demand, now time.Time) time.Duration {
+	if p.choose(d, now) != nil {
+		return 0
+	}
+
+	online, batch, ahead := 0, 0, 1
+
+	for _, e := range p.leases {
+		if e.class == Online {
+			online++
+		} else {
+			batch++
+		}
+	}
+
+	for _, w := range p.waiting {
+		if w.class == Online && compare(w, d) < 0 {
+			ahead++
+		}
+	}
+
+	if ahead <= batch || online == 0 {
+		return 0
+	}
+
+	return time.Duration(ahead-batch) * p.held() / time.Duration(online)
+}
+
+// held returns the mean time that online leases are held.
+func (p *Pool) held() time.Duration {
+	if p.duration == 0 {
+		return firstDuration
+	}
+
+	return p.duration
+}
+
 // Withdraw ends a demand that waits.
 func (p *Pool) Withdraw(id string) {
 	p.mu.Lock()
@@ -214,6 +287,11 @@
 	}
 
 	p.released[id] = now
+
+	if e, ok := p.leases[id]; ok && e.class == Online && f == None {
+		p.duration = p.held() + time.Duration(durationWeight*float64(now.Sub(e.since)-p.held()))
+	}
+
 	p.drop(id)
 
 	if v, ok := p.targets[target]; ok {
@@ -380,7 +458,7 @@
 	rest := p.waiting[:0]
 	starved := 0
 
-	for _, d := range p.waiting {
+	for _, d := range p.order(now) {
 		v := p.choose(d, now)
 		if v == nil {
 			rest = append(rest, d)
@@ -392,7 +470,7 @@
 			continue
 		}
 
-		e := Lease{id: d.id, holder: d.holder, target: v.target.name, class: d.class, due: d.due, since: now}
+		e := Lease{id: d.id, holder: d.holder, target: v.target.name, class: d.class, due: d.due, needs: d.needs, since: now}
 		p.add(e)
 		a.grants = append(a.grants, e)
 
@@ -403,14 +481,30 @@
 
 	clear(p.waiting[len(rest):])
 	p.waiting = rest
+	slices.SortFunc(p.waiting, compare)
 
 	if starved > 0 {
-		a.yields = p.yield(starved)
+		a.yields = p.yield(starved, now)
 	}
 
 	return a
 }
 
+// order returns the demands that wait in the order in which they are served.
+func (p *Pool) order(now time.Time) []Demand {
+	l := make([]Demand, 0, len(p.waiting))
+
+	for _, late := range []bool{false, true} {
+		for _, d := range p.waiting {
+			if d.late(now) == late {
+				l = append(l, d)
+			}
+		}
+	}
+
+	return l
+}
+
 // choose returns the target for a demand: a preferred one, then one of its own failure domain, then the one with the
 // smallest share of its slots in use. A suspect target is tried only when no other one is free.
 func (p *Pool) choose(d Demand, now time.Time) *place {
@@ -449,9 +543,12 @@
 	return v.target.name < o.target.name
 }
 
-// yield returns batch leases to be given back, the least urgent first, so that as many are on their way back as
-// online demands wait.
-func (p *Pool) yield(n int) []Lease {
+// late reports whether the work of a batch lease cannot be done by its due time any more.
+func (e *Lease) late(now time.Time) bool { return e.since.Add(e.needs).After(e.due) || now.After(e.due) }
+
+// yield returns batch leases to be given back, those that are late anyway and then the least urgent first, so that as
+// many are on their way back as online demands wait.
+func (p *Pool) yield(n int, now time.Time) []Lease {
 	var l []*Lease
 
 	for _, e := range p.leases {
@@ -466,7 +563,17 @@
 		}
 	}
 
-	slices.SortFunc(l, func(a, b *Lease) int { return cmp.Or(b.due.Compare(a.due), cmp.Compare(a.id, b.id)) })
+	slices.SortFunc(l, func(a, b *Lease) int {
+		if x, y := a.late(now), b.late(now); x != y {
+			if x {
+				return -1
+			}
+
+			return 1
+		}
+
+		return cmp.Or(b.due.Compare(a.due), cmp.Compare(a.id, b.id))
+	})
 
 	var r []Lease
 
--- a/slots/holder.go
+++ b/slots/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -85,7 +86,9 @@
 	service := r.TargetService()
 	h.use(service)
 
-	wait := r.SlotWait()
+	w := r.Want()
+	wait := w.Wait()
+
 	if r.Class() == filter.Batch {
 		wait = batchWait
 	}
@@ -95,7 +98,11 @@
 
 	q := DemandMessage{
 		Service: service, Batch: r.Class() == filter.Batch, Rank: r.Route().Priority(),
-		DueMS: time.Until(r.Due()).Milliseconds(), Avoid: exclude, Prefer: r.Prefer(),
+		DueMS: time.Until(w.Due()).Milliseconds(), NeedsMS: w.Needs().Milliseconds(), Avoid: exclude, Prefer: r.Prefer(),
+	}
+
+	if w.Refusable() {
+		q.MostMS = max(1, wait.Milliseconds())
 	}
 
 	for {
@@ -134,6 +141,9 @@
 	h.services[service] = true
 }
 
+// errRefused means that a demand would wait for too long.
+var errRefused = errors.New("the wait for a slot would be too long")
+
 // acquire takes a demand to the owner, and to the next one when that fails, until it is granted or ctx ends.
 func (h *Holder) acquire(ctx context.Context, q DemandMessage) (*slot, error) {
 	self := h.peers.Self()
@@ -153,7 +163,14 @@
 
 	for {
 		q.DueMS = time.Until(due).Milliseconds()
-		owner, target := h.ask(ctx, q)
+		owner, a := h.ask(ctx, q)
+		target := a.Target
+
+		if a.Refused {
+			h.withdraw(q, owner, c)
+
+			return nil, errRefused
+		}
 
 		if target == "" {
 			select {
@@ -176,7 +193,7 @@
 }
 
 // ask asks the owner of a service, and the next candidate when it does not answer. It returns the one that answered.
-func (h *Holder) ask(ctx context.Context, q DemandMessage) (mesh.Peer, string) {
+func (h *Holder) ask(ctx context.Context, q DemandMessage) (mesh.Peer, DemandReply) {
 	self := h.peers.Self()
 	tried := map[string]bool{}
 
@@ -188,7 +205,7 @@
 		if o.VM == self.VM {
 			_ = h.owner.Ask(q, &a)
 
-			return o, a.Target
+			return o, a
 		}
 
 		x, stop := context.WithTimeout(ctx, askWithin)
@@ -197,7 +214,7 @@
 		stop()
 
 		if err == nil || ctx.Err() != nil {
-			return o, a.Target
+			return o, a
 		}
 
 		tried[o.VM] = true
@@ -209,7 +226,7 @@
 
 	_ = h.owner.Ask(q, &a)
 
-	return self, a.Target
+	return self, a
 }
 
 // candidate returns the first choice that was not tried.
@@ -225,7 +242,7 @@
 
 // hold records a granted slot.
 func (h *Holder) hold(q DemandMessage, owner mesh.Peer, target string, due time.Time) *slot {
-	s := &slot{holder: h, id: q.ID, service: q.Service, name: target, batch: q.Batch, owner: owner, due: due, yield: make(chan struct{})}
+	s := &slot{holder: h, id: q.ID, service: q.Service, name: target, batch: q.Batch, owner: owner, due: due, end: time.Now().Add(time.Duration(q.NeedsMS) * time.Millisecond), yield: make(chan struct{})}
 	k := h.shard(q.ID)
 
 	k.mu.Lock()
@@ -377,7 +394,7 @@
 		k.mu.Lock()
 		for _, s := range k.leases {
 			if s.service == service {
-				l = append(l, LeaseMessage{ID: s.id, Target: s.name, Batch: s.batch, DueMS: time.Until(s.due).Milliseconds()})
+				l = append(l, LeaseMessage{ID: s.id, Target: s.name, Batch: s.batch, DueMS: time.Until(s.due).Milliseconds(), Needs: max(0, time.Until(s.end).Milliseconds())})
 			}
 		}
 		k.mu.Unlock()
@@ -395,6 +412,7 @@
 	batch   bool
 	owner   mesh.Peer
 	due     time.Time
+	end     time.Time // when the work is expected to end
 	target  filter.Target
 	yield   chan struct{}
 	once    sync.Once
--- a/slots/message.go
+++ b/slots/message.go
@@ -12,14 +12,17 @@
 	Domain  string   `msgpack:"domain"`
 	Batch   bool     `msgpack:"batch"`
 	Rank    int      `msgpack:"rank"`
-	DueMS   int64    `msgpack:"due_ms"` // time from now
+	DueMS   int64    `msgpack:"due_ms"`   // time from now
+	NeedsMS int64    `msgpack:"needs_ms"` // time from the start of the work to its end; 0 when not known
+	MostMS  int64    `msgpack:"most_ms"`  // expected wait above which the demand is refused; 0 for never
 	Avoid   []string `msgpack:"avoid"`
 	Prefer  string   `msgpack:"prefer"`
 }
 
 // DemandReply names the target of the slot; none when the demand waits.
 type DemandReply struct {
-	Target string `msgpack:"target"`
+	Target  string `msgpack:"target"`
+	Refused bool   `msgpack:"refused"` // the wait would be too long
 }
 
 // WithdrawMessage ends a demand that waits.
@@ -49,7 +52,8 @@
 	ID     string `msgpack:"id"`
 	Target string `msgpack:"target"`
 	Batch  bool   `msgpack:"batch"`
-	DueMS  int64  `msgpack:"due_ms"` // time from now
+	DueMS  int64  `msgpack:"due_ms"`   // time from now
+	Needs  int64  `msgpack:"needs_ms"` // time from now to the end of the work
 }
 
 // NoticeMessage tells a daemon what was decided about its demands and leases.
--- a/slots/owner.go
+++ b/slots/owner.go
@@ -120,8 +120,10 @@
 
 	now := time.Now()
 	d := pool.NewDemand(q.ID, q.Holder, q.Domain, c, q.Rank, now.Add(time.Duration(q.DueMS)*time.Millisecond)).
-		Avoiding(q.Avoid).Preferring(q.Prefer)
+		Avoiding(q.Avoid).Preferring(q.Prefer).Needing(time.Duration(q.NeedsMS) * time.Millisecond).
+		Within(time.Duration(q.MostMS) * time.Millisecond)
 	l := s.pool.Ask(d, now)
+	a.Refused = l.Refused()
 
 	for _, g := range l.Grants() {
 		if g.ID() == q.ID {
@@ -163,7 +165,8 @@
 			c = pool.Batch
 		}
 
-		l = append(l, pool.NewLease(e.ID, q.Holder, e.Target, c, now.Add(time.Duration(e.DueMS)*time.Millisecond)))
+		l = append(l, pool.NewLease(
+			e.ID, q.Holder, e.Target, c, now.Add(time.Duration(e.DueMS)*time.Millisecond), time.Duration(e.Needs)*time.Millisecond))
 	}
 
 	o.deliver(q.Service, s, s.pool.Report(q.Holder, l, now), "")
