Give batch work no slots for a moment after leases were asked back

Closing their connections cost 829 new ones.

Change: the pool gives batch work nothing for 150 ms after it asked leases back.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -55,6 +55,9 @@
 	firstDuration = time.Second
 	// durationWeight is the weight of one lease in the mean time that they are held.
 	durationWeight = 0.05
+	// batchPause is the time after leases were asked back in which batch work gets no slots. In a burst, each slot that it
+	// got would be asked back within a few milliseconds, before the run could begin.
+	batchPause = 150 * time.Millisecond
 	// releaseMemory is how long a released lease is remembered, so that an older report does not bring it back.
 	releaseMemory = time.Second
 )
@@ -172,6 +175,7 @@
 	released map[string]time.Time
 	waiting  []Demand
 	duration time.Duration // mean time that online leases are held
+	pressed  time.Time     // when batch leases were last asked back
 }
 
 // place is a target with its load.
@@ -510,6 +514,10 @@
 func (p *Pool) choose(d Demand, now time.Time) *place {
 	var best *place
 
+	if d.class == Batch && now.Sub(p.pressed) < batchPause {
+		return nil
+	}
+
 	for _, v := range p.targets {
 		if v.used >= v.target.slots || v.until.After(now) || slices.Contains(d.avoid, v.target.name) {
 			continue
@@ -577,6 +585,10 @@
 
 	var r []Lease
 
+	if len(l) > 0 && n > 0 {
+		p.pressed = now
+	}
+
 	for _, e := range l[:max(0, min(n, len(l)))] {
 		e.yielding = true
 		r = append(r, *e)
