Drop the records of jobs that nobody may read any more

Cause: read-through; finished jobs stayed in the store for good. Linter findings in the new packages.

Change: every daemon searches its partitions for expired jobs every 20 to 40 s and drops their keys.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -89,7 +89,9 @@
 }
 
 // NewResult returns the result of an item: its text, or that it was given up.
-func NewResult(item, text string, done bool) Result { return Result{item: item, text: text, done: done} }
+func NewResult(item, text string, done bool) Result {
+	return Result{item: item, text: text, done: done}
+}
 
 // Item returns the identifier of the item.
 func (r Result) Item() string { return r.item }
--- a/batches/batches.go
+++ b/batches/batches.go
@@ -19,11 +19,13 @@
 // Sizes are the bounds of the log.
 type Sizes struct {
 	partitions, record, call int
+	keep                     time.Duration
 }
 
-// NewSizes returns the number of partitions, the largest record and the largest append in bytes.
-func NewSizes(partitions, record, call int) Sizes {
-	return Sizes{partitions: partitions, record: record, call: call}
+// NewSizes returns the number of partitions, the largest record and the largest append in bytes, and how long finished
+// jobs are kept after their submission.
+func NewSizes(partitions, record, call int, keep time.Duration) Sizes {
+	return Sizes{partitions: partitions, record: record, call: call, keep: keep}
 }
 
 // Partitions returns the number of partitions.
@@ -62,7 +64,7 @@
 func (b *Batches) Actors() []func(ctx context.Context) error {
 	var l []func(ctx context.Context) error
 	for _, p := range b.partitions {
-		l = append(l, p.follower.Run, p.writer.run)
+		l = append(l, p.follower.Run, p.writer.run, p.writer.sweep)
 	}
 
 	return l
--- a/batches/runner.go
+++ b/batches/runner.go
@@ -80,7 +80,6 @@
 	fails int
 	delay time.Duration
 	next  time.Time
-	on    string // the target of the last run
 }
 
 // NewRunner returns the controller. h is the chain that items pass through.
--- a/batches/writer.go
+++ b/batches/writer.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"errors"
-	"fmt"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -57,7 +58,7 @@
 		return outcome.New(outcome.InvalidRequest, outcome.NotRun, "the job cannot be recorded").WithCause(err)
 	}
 
-	last := append(r.Chunks()[:len(r.Chunks()):len(r.Chunks())], r.Job())
+	last := slices.Concat(r.Chunks(), []stream.Keyed{r.Job()})
 	for size(last) > w.sizes.call {
 		n := w.fit(last)
 		if _, err := w.log.Append(ctx, Stream, w.number, last[:n], stream.Anywhere); err != nil {
@@ -339,17 +340,34 @@
 	return rest
 }
 
-// expireJobs drops the records of jobs that nobody may read any more.
-func (w *writer) expireJobs(ctx context.Context, now time.Time, keep time.Duration) error {
-	l := w.partition.replica.Expired(now, keep)
-	if len(l) == 0 {
-		return nil
-	}
+const (
+	// sweepEvery is the time between two searches for jobs that nobody may read any more. Each daemon searches at a
+	// time of its own, so that most find nothing left.
+	sweepEvery = 20 * time.Second
+	// sweepWithin bounds one append of a search.
+	sweepWithin = 5 * time.Second
+)
 
-	_, err := w.log.Append(ctx, Stream, w.number, l[:w.fit(l)], stream.Anywhere)
-	if err != nil {
-		return fmt.Errorf("expiry of jobs: %w", err)
-	}
+// sweep drops the records of jobs that nobody may read any more, until ctx ends.
+func (w *writer) sweep(ctx context.Context) error {
+	for {
+		select {
+		case <-time.After(sweepEvery + rand.N(sweepEvery)): //nolint:gosec // spreads the searches
+		case <-ctx.Done():
+			return nil
+		}
 
-	return nil
+		l := w.partition.replica.Expired(time.Now(), w.sizes.keep)
+		if len(l) == 0 || !w.partition.follower.Loaded() {
+			continue
+		}
+
+		x, stop := context.WithTimeout(ctx, sweepWithin)
+		_, err := w.log.Append(x, Stream, w.number, l[:w.fit(l)], stream.Anywhere)
+
+		stop()
+
+		w.logger.Info().Str("event", "jobs_expired").Int("part", w.number).Int("records", len(l)).Err(err).
+			Msg("records of old jobs were dropped")
+	}
 }
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -99,7 +99,8 @@
 
 	w := newWatch(d.logger, d.metrics)
 	workers := platform.NewWorkers()
-	sizes := batches.NewSizes(d.settings.Store.Partitions, d.settings.Store.RecordBytes, d.settings.Store.CallBytes)
+	l := d.settings.Store
+	sizes := batches.NewSizes(l.Partitions, l.RecordBytes, l.CallBytes, l.KeepResults.Value())
 	d.batches = batches.New(d.log, sizes, batch.NewRunner(self.VM, self.Start), time.Now, d.logger)
 	d.runner = batches.NewRunner(d.batches, filter.ItemChain(holder, time.Now, w, workers), &d.routes, table, d.client, time.Now, d.logger)
 
--- a/keyed/relay.go
+++ b/keyed/relay.go
@@ -101,7 +101,7 @@
 
 // Append appends records. An answer that is lost on the way is stream.ErrLost, and is not repeated through others.
 func (r *Relayed) Append(ctx context.Context, name string, part int, records []stream.Keyed, at int64) (int64, error) {
-	err := error(stream.ErrRefused)
+	err := stream.ErrRefused
 
 	if !r.skip() {
 		o, e := r.direct.Append(ctx, name, part, records, at)
@@ -145,7 +145,7 @@
 
 // Tail reads on.
 func (r *Relayed) Tail(ctx context.Context, name string, part int, from int64, wait time.Duration) (stream.KeyedPage, error) {
-	err := error(stream.ErrUnavailable)
+	err := stream.ErrUnavailable
 
 	if !r.skip() {
 		p, e := r.tail(ctx, name, part, from, wait)
@@ -181,7 +181,7 @@
 
 // Newest lists the newest records.
 func (r *Relayed) Newest(ctx context.Context, name string, part int, after string) (stream.KeyedPage, error) {
-	err := error(stream.ErrUnavailable)
+	err := stream.ErrUnavailable
 
 	if !r.skip() {
 		p, e := r.direct.Newest(ctx, name, part, after)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -552,7 +552,7 @@
 }
 
 // late reports whether the work of a batch lease cannot be done by its due time any more.
-func (e *Lease) late(now time.Time) bool { return e.since.Add(e.needs).After(e.due) || now.After(e.due) }
+func (l Lease) late(now time.Time) bool { return l.since.Add(l.needs).After(l.due) || now.After(l.due) }
 
 // yield returns batch leases to be given back, those that are late anyway and then the least urgent first, so that as
 // many are on their way back as online demands wait.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -40,10 +40,10 @@
 
 // Store has the bounds of the platform's store and what is kept in it.
 type Store struct {
-	Partitions    int               `toml:"partitions"`     // partitions of the stream of batch jobs; cannot be changed while jobs are in it
-	RecordBytes   int               `toml:"record_bytes"`   // largest record
-	CallBytes     int               `toml:"call_bytes"`     // largest append
-	KeepResults   tomlfile.Duration `toml:"keep_results"`   // how long the results of a finished job stay readable after its submission
+	Partitions  int               `toml:"partitions"`   // partitions of the stream of batch jobs; cannot be changed while jobs are in it
+	RecordBytes int               `toml:"record_bytes"` // largest record
+	CallBytes   int               `toml:"call_bytes"`   // largest append
+	KeepResults tomlfile.Duration `toml:"keep_results"` // how long the results of a finished job stay readable after its submission
 }
 
 // TLS names the files of one listener. Without a certificate the listener is not encrypted. The files are read
--- a/slots/owner.go
+++ b/slots/owner.go
@@ -60,7 +60,9 @@
 }
 
 // NewOwner returns the controller of a daemon that takes notices at the address self.
-func NewOwner(c Caller, t Targets, self string) *Owner { return &Owner{caller: c, targets: t, self: self} }
+func NewOwner(c Caller, t Targets, self string) *Owner {
+	return &Owner{caller: c, targets: t, self: self}
+}
 
 // SetReceiver sets what takes notices for this daemon. It is to be called before the first demand.
 func (o *Owner) SetReceiver(r Receiver) { o.receiver = r }
