--- /dev/null
+++ b/batches/property_test.go
@@ -0,0 +1,252 @@
+package batches_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"github.com/agategap/agategap/batch"
+	"github.com/agategap/agategap/batches"
+	"github.com/agategap/agategap/keyed"
+	"github.com/agategap/agategap/outcome"
+)
+
+// TestMain fixes the seed of the properties, so that CI repeats itself.
+// More runs: go test ./batches -rapid.checks 1000 -rapid.seed N.
+func TestMain(m *testing.M) {
+	flag.Parse()
+
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("20261204")
+	}
+
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("25")
+	}
+
+	os.Exit(m.Run())
+}
+
+const (
+	mostBytes = 1 << 20
+	within    = 300 * time.Millisecond
+)
+
+var sizes = batches.NewSizes(1, 16<<10, 64<<10, time.Hour)
+
+// daemon is one daemon's controller of jobs.
+type daemon struct {
+	*batches.Batches
+
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+}
+
+func start(l *memory, n int) *daemon { return startOn(l, n) }
+
+func startOn(l keyed.Log, n int) *daemon {
+	ctx, stop := context.WithCancel(context.Background())
+	d := &daemon{
+		Batches: batches.New(l, sizes, batch.NewRunner(fmt.Sprint("vm", n), 1), time.Now, zerolog.Nop()), stop: stop,
+	}
+
+	for _, f := range d.Actors() {
+		d.wg.Go(func() { _ = f(ctx) })
+	}
+
+	return d
+}
+
+func (d *daemon) end() {
+	d.stop()
+	d.wg.Wait()
+}
+
+func job(id string, items int) batch.Submission {
+	l := make([]batch.Item, items)
+	for i := range l {
+		l[i] = batch.NewItem(fmt.Sprint(id, "-", i), "/x/", nil, []byte(id), 1)
+	}
+
+	return batch.NewSubmission(id, "h", "/x/", l).Timed(time.Now(), time.Minute, time.Hour)
+}
+
+func read(d *daemon, id string) (string, error) {
+	ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+	defer stop()
+
+	p, err := d.Results(ctx, id, 0, mostBytes, 0)
+	if err != nil {
+		return "", err
+	}
+
+	s := fmt.Sprint(p.Total(), ":")
+	for _, v := range p.Results() {
+		s += fmt.Sprint(" ", v.Item(), "=", v.Text(), v.Done())
+	}
+
+	return s, nil
+}
+
+// Guards against a job that is accepted after a refusal that promised that it never runs, an acknowledged job or result
+// that is lost, an item that is listed twice, and daemons that list results at different positions - while appends are
+// refused, lost on the way there and back, and made late, and the log drops its history.
+func TestJobsUnderLostAppends(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		weights := []int{
+			60, rapid.IntRange(0, 30).Draw(t, "refused"), rapid.IntRange(0, 30).Draw(t, "lost"),
+			rapid.IntRange(0, 30).Draw(t, "dropped"), rapid.IntRange(0, 30).Draw(t, "deferred"),
+		}
+		r := rand.New(rand.NewPCG(seed, 1))
+		l := newMemory()
+		l.faults = func() fault { return fault(pick(r, weights)) }
+
+		d := []*daemon{start(l, 0), start(l, 1), start(l, 2)}
+
+		var (
+			wg       sync.WaitGroup
+			mu       sync.Mutex
+			accepted = map[string]bool{}
+			never    = map[string]bool{}
+			listed   = map[string]int{}
+		)
+
+		for n := range 4 {
+			id := fmt.Sprint("job", n)
+
+			wg.Go(func() {
+				clear := true
+
+				for _, x := range d {
+					ctx, stop := context.WithTimeout(context.Background(), within)
+					err := x.Submit(ctx, job(id, 3))
+
+					stop()
+
+					mu.Lock()
+					if err == nil {
+						accepted[id] = true
+					}
+					mu.Unlock()
+
+					clear = clear && err != nil && outcome.From(err).Effect() == outcome.NotRun
+				}
+
+				mu.Lock()
+				never[id] = clear
+				mu.Unlock()
+
+				for i := range 3 {
+					for k, x := range d {
+						ctx, stop := context.WithTimeout(context.Background(), within)
+						err := x.List(ctx, id, batch.NewResult(fmt.Sprint(id, "-", i), fmt.Sprint("by", k), true))
+
+						stop()
+
+						mu.Lock()
+						if err == nil && accepted[id] {
+							listed[id] |= 1 << i
+						}
+						mu.Unlock()
+					}
+				}
+			})
+		}
+
+		if rapid.Bool().Draw(t, "forget") {
+			time.Sleep(5 * time.Millisecond)
+			l.forget()
+		}
+
+		wg.Wait()
+		time.Sleep(60 * time.Millisecond) // appends that are made late
+
+		l.mu.Lock()
+		l.faults = nil
+		l.mu.Unlock()
+
+		d = append(d, start(l, 3))
+
+		for n := range 4 {
+			id := fmt.Sprint("job", n)
+			first := ""
+
+			for k, x := range d {
+				s, err := read(x, id)
+
+				switch {
+				case err != nil && accepted[id]:
+					t.Fatalf("daemon %d lost %s: %s", k, id, err)
+				case err == nil && never[id]:
+					t.Fatalf("%s runs although it was refused at every attempt", id)
+				case err == nil && first == "":
+					first = s
+				case err == nil && s != first:
+					t.Fatalf("%s differs: %q and %q", id, first, s)
+				}
+			}
+
+			if accepted[id] {
+				check(t, d[3], id, listed[id])
+			}
+		}
+
+		for _, x := range d {
+			x.end()
+		}
+	})
+}
+
+// check fails if an item is listed twice, or one is not listed that was acknowledged.
+func check(t *rapid.T, d *daemon, id string, listed int) {
+	p, err := d.Results(context.Background(), id, 0, mostBytes, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	seen := 0
+
+	for _, v := range p.Results() {
+		var i int
+
+		_, _ = fmt.Sscanf(v.Item(), id+"-%d", &i)
+
+		if seen&(1<<i) != 0 {
+			t.Fatalf("%s is listed twice", v.Item())
+		}
+
+		seen |= 1 << i
+	}
+
+	if listed&^seen != 0 {
+		t.Fatalf("results of %s are lost: acknowledged %b, listed %b", id, listed, seen)
+	}
+}
+
+func pick(r *rand.Rand, weights []int) int {
+	n := 0
+	for _, w := range weights {
+		n += w
+	}
+
+	x := r.IntN(n)
+
+	for i, w := range weights {
+		if x < w {
+			return i
+		}
+
+		x -= w
+	}
+
+	return 0
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,85 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agategap/agategap/fleet"
+)
+
+var start = time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+func names(l []fleet.Target) []string {
+	r := []string{}
+	for _, t := range l {
+		r = append(r, t.Name())
+	}
+
+	return r
+}
+
+func target(name string) fleet.Target { return fleet.NewTarget(name, "10.0.0.1:80", "a", "s", 8) }
+
+// Guards against new work on targets that are leaving or gone, and against entries that come back by a late record.
+func TestRegistry(t *testing.T) {
+	Convey("With two targets", t, func() {
+		var r fleet.Registry
+
+		So(r.Known(), ShouldBeFalse)
+		r.Put(target("a"), 1)
+		r.Put(target("b"), 2)
+		So(names(r.Usable("s", at(0))), ShouldResemble, []string{"a", "b"})
+		So(names(r.Usable("other", at(0))), ShouldBeEmpty)
+
+		Convey("one that is leaving gets nothing, and an older record changes nothing", func() {
+			r.Put(target("a").AsLeaving(), 5)
+			r.Put(target("a"), 4)
+			So(names(r.Usable("s", at(0))), ShouldResemble, []string{"b"})
+		})
+
+		Convey("one whose entry is removed is gone at once while the log is sound", func() {
+			r.Remove("a", 5, at(1))
+			So(names(r.Usable("s", at(1))), ShouldResemble, []string{"b"})
+
+			r.Put(target("a"), 6)
+			So(names(r.Usable("s", at(2))), ShouldResemble, []string{"a", "b"})
+		})
+	})
+}
+
+// Guards against losing all targets when entries lapse in an outage of the log, and against keeping dead ones.
+func TestEntriesThatLapseInAnOutage(t *testing.T) {
+	Convey("When the entries of two targets lapse while the log is down", t, func() {
+		var r fleet.Registry
+
+		r.Put(target("alive"), 1)
+		r.Put(target("dead"), 2)
+		r.Put(target("leaving").AsLeaving(), 3)
+		r.Outage(true, at(10))
+		r.Remove("alive", 11, at(12))
+		r.Remove("dead", 12, at(12))
+		r.Remove("leaving", 13, at(12))
+
+		Convey("both are used until two seconds after its return, the leaving one is not", func() {
+			So(names(r.Usable("s", at(13))), ShouldResemble, []string{"alive", "dead"})
+
+			r.Outage(false, at(15))
+			So(names(r.Usable("s", at(16.9))), ShouldResemble, []string{"alive", "dead"})
+
+			r.Put(target("alive"), 20)
+			So(names(r.Usable("s", at(17.1))), ShouldResemble, []string{"alive"})
+		})
+
+		Convey("a removal that is read soon after the return counts as one of the outage", func() {
+			r.Outage(false, at(15))
+			r.Put(target("late"), 30)
+			r.Remove("late", 31, at(15.5))
+			So(names(r.Usable("s", at(16))), ShouldContain, "late")
+			So(names(r.Usable("s", at(17.5))), ShouldNotContain, "late")
+		})
+	})
+}
--- /dev/null
+++ b/mesh/table_test.go
@@ -0,0 +1,90 @@
+package mesh_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agategap/agategap/mesh"
+)
+
+var start = time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func peer(vm string, run int64) mesh.Peer {
+	return mesh.Peer{VM: vm, Address: vm + ":1", Domain: "a", Start: run}
+}
+
+func vms(l []mesh.Peer) []string {
+	r := []string{}
+	for _, p := range l {
+		r = append(r, p.VM)
+	}
+
+	return r
+}
+
+// Guards against duties that stay with a daemon that is lost or leaving, or that nobody does.
+func TestTable(t *testing.T) {
+	Convey("With two other daemons that answer", t, func() {
+		x := mesh.New(peer("self", 1))
+		x.Heard(peer("b", 1), at(0))
+		x.Heard(peer("c", 1), at(0))
+		x.Learn(peer("silent", 1), at(0))
+
+		So(vms(x.Live(at(10))), ShouldResemble, []string{"b", "c"})
+		So(x.Ranked("duty", at(10)), ShouldHaveLength, 3)
+
+		Convey("one that failed a call is passed over until it answers", func() {
+			x.Failed("b")
+			So(vms(x.Live(at(10))), ShouldResemble, []string{"c"})
+			x.Heard(peer("b", 1), at(20))
+			So(vms(x.Live(at(30))), ShouldResemble, []string{"b", "c"})
+		})
+
+		Convey("one that is silent is lost", func() {
+			So(x.Live(at(5000)), ShouldBeEmpty)
+			So(vms(x.Ranked("duty", at(5000))), ShouldResemble, []string{"self"})
+		})
+
+		Convey("one that is leaving gets no duties, and cannot take it back in the same run", func() {
+			p := peer("b", 1)
+			p.Leaving = true
+			x.Heard(p, at(20))
+			x.Heard(peer("b", 1), at(30))
+			So(vms(x.Live(at(40))), ShouldResemble, []string{"c"})
+			So(x.Alive("b", 1, at(40)), ShouldBeTrue)
+
+			x.Heard(peer("b", 2), at(50))
+			So(vms(x.Live(at(60))), ShouldResemble, []string{"b", "c"})
+			So(x.Alive("b", 1, at(60)), ShouldBeFalse)
+		})
+
+		Convey("a record of an earlier run changes nothing", func() {
+			x.Heard(peer("b", 5), at(20))
+			So(x.Learn(peer("b", 4), at(30)), ShouldBeFalse)
+			So(x.Alive("b", 5, at(40)), ShouldBeTrue)
+		})
+
+		Convey("this daemon does duties while it is alone, also when it is leaving", func() {
+			x.Leave()
+			So(vms(x.Ranked("duty", at(10))), ShouldNotContain, "self")
+			So(vms(x.Ranked("duty", at(5000))), ShouldResemble, []string{"self"})
+		})
+	})
+}
+
+// Guards against full tables in every heartbeat.
+func TestDigest(t *testing.T) {
+	Convey("Tables that know the same daemons have the same digest", t, func() {
+		a, b := mesh.New(peer("a", 1)), mesh.New(peer("b", 1))
+		So(a.Digest(), ShouldNotEqual, b.Digest())
+		a.Learn(peer("b", 1), at(0))
+		b.Heard(peer("a", 1), at(0))
+		So(a.Digest(), ShouldEqual, b.Digest())
+		a.Learn(peer("b", 2), at(0))
+		So(a.Digest(), ShouldNotEqual, b.Digest())
+	})
+}
--- /dev/null
+++ b/pool/pool_test.go
@@ -0,0 +1,333 @@
+package pool_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/agategap/agategap/pool"
+)
+
+// TestMain fixes the seed of the properties, so that CI repeats itself.
+// More runs: go test ./pool -rapid.checks 1000 -rapid.seed N.
+func TestMain(m *testing.M) {
+	flag.Parse()
+
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("20261204")
+	}
+
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("200")
+	}
+
+	os.Exit(m.Run())
+}
+
+var start = time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func online(id string, due int) pool.Demand {
+	return pool.NewDemand(id, "vm", "a", pool.Online, 0, at(due))
+}
+
+func item(id string, due int) pool.Demand {
+	return pool.NewDemand(id, "vm", "a", pool.Batch, 0, at(due))
+}
+
+func ids(l []pool.Lease) []string {
+	r := []string{}
+	for _, e := range l {
+		r = append(r, e.ID())
+	}
+
+	return r
+}
+
+// Guards against more requests at a target than it has slots, a demand that is served twice or forgotten, and an online
+// demand that waits beside a free slot.
+func TestPoolKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const targets, slots = 3, 2
+
+		var p pool.Pool
+
+		l := []pool.Target{}
+		for i := range targets {
+			l = append(l, pool.NewTarget(fmt.Sprint("t", i), "a", slots))
+		}
+
+		p.SetTargets(l)
+
+		now := 0
+		held := map[string]pool.Lease{}
+		waiting := map[string]pool.Class{}
+
+		take := func(a pool.Actions) {
+			for _, g := range a.Grants() {
+				if _, twice := held[g.ID()]; twice {
+					t.Fatalf("%s was granted twice", g.ID())
+				}
+
+				if _, ok := waiting[g.ID()]; !ok {
+					t.Fatalf("%s was granted and does not wait", g.ID())
+				}
+
+				delete(waiting, g.ID())
+				held[g.ID()] = g
+			}
+
+			for _, y := range a.Yields() {
+				if _, ok := held[y.ID()]; !ok {
+					t.Fatalf("%s is to be given back and is not held", y.ID())
+				}
+			}
+		}
+
+		for n := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += rapid.IntRange(0, 300).Draw(t, "pause")
+
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				id := fmt.Sprint("o", n)
+				waiting[id] = pool.Online
+				take(p.Ask(online(id, now+rapid.IntRange(1, 500).Draw(t, "due")), at(now)))
+			case 1:
+				id := fmt.Sprint("b", n)
+				waiting[id] = pool.Batch
+				take(p.Ask(item(id, now+rapid.IntRange(1, 20000).Draw(t, "due")), at(now)))
+			case 2:
+				for id, e := range held {
+					delete(held, id)
+					take(p.Release(id, e.Target(), pool.None, at(now)))
+
+					break
+				}
+			case 3:
+				var r []pool.Lease
+				for _, e := range held {
+					r = append(r, e)
+				}
+
+				take(p.Report("vm", r, at(now)))
+				take(p.Expire(at(now)))
+			}
+
+			load := map[string]int{}
+			for _, e := range held {
+				load[e.Target()]++
+			}
+
+			free := targets*slots - len(held)
+
+			for n, c := range load {
+				if c > slots {
+					t.Fatalf("%s has %d requests", n, c)
+				}
+			}
+
+			for id, c := range waiting {
+				if c == pool.Online && free > 0 {
+					t.Fatalf("%s waits while %d slots are free", id, free)
+				}
+			}
+		}
+	})
+}
+
+func full(p *pool.Pool, d ...pool.Demand) {
+	p.SetTargets([]pool.Target{pool.NewTarget("t", "a", len(d))})
+
+	for _, v := range d {
+		p.Ask(v, at(0))
+	}
+}
+
+// Guards against online requests that wait behind batch work.
+func TestBatchWorkYields(t *testing.T) {
+	Convey("When online demands wait and batch work holds all slots", t, func() {
+		var p pool.Pool
+
+		full(&p, item("urgent", 5000), item("relaxed", 9000), item("late", 6000).Needing(7*time.Second))
+
+		a := p.Ask(online("o1", 300), at(10))
+
+		Convey("the item that is late anyway is asked back first, and only once", func() {
+			So(ids(a.Yields()), ShouldResemble, []string{"late"})
+			So(ids(p.Ask(online("o2", 300), at(11)).Yields()), ShouldResemble, []string{"relaxed"})
+			So(ids(p.Expire(at(12)).Yields()), ShouldBeEmpty)
+		})
+
+		Convey("the slot that comes back goes to the online demand, not to batch work", func() {
+			p.Ask(item("next", 1000), at(11))
+			So(ids(p.Release("late", "t", pool.Unused, at(12)).Grants()), ShouldResemble, []string{"o1"})
+		})
+
+		Convey("batch work gets the next free slot only after a pause, as bursts go on", func() {
+			p.Ask(item("next", 1000), at(11))
+			p.Release("late", "t", pool.Unused, at(12))
+			So(ids(p.Release("o1", "t", pool.None, at(30)).Grants()), ShouldBeEmpty)
+			So(ids(p.Expire(at(400)).Grants()), ShouldResemble, []string{"next"})
+		})
+	})
+}
+
+// Guards against requests that are kept waiting although their answer cannot be on time.
+func TestRefusal(t *testing.T) {
+	Convey("When all slots are held by online requests", t, func() {
+		var p pool.Pool
+
+		full(&p, online("a", 300), online("b", 300))
+
+		Convey("a demand whose wait would be too long is refused and not kept", func() {
+			So(p.Ask(online("c", 300).Within(100*time.Millisecond), at(1)).Refused(), ShouldBeTrue)
+			So(p.Waiting(pool.Online), ShouldEqual, 0)
+		})
+
+		Convey("one that may wait is kept", func() {
+			So(p.Ask(online("c", 300).Within(10*time.Second), at(1)).Refused(), ShouldBeFalse)
+			So(ids(p.Release("a", "t", pool.None, at(2)).Grants()), ShouldResemble, []string{"c"})
+		})
+
+		Convey("a stream that broke off is never refused, and comes before the others", func() {
+			p.Ask(online("c", 300).Within(10*time.Second), at(1))
+			p.Ask(online("resumed", 1), at(2))
+			So(ids(p.Release("a", "t", pool.None, at(3)).Grants()), ShouldResemble, []string{"resumed"})
+		})
+	})
+}
+
+// Guards against a slot that is lost or taken twice when messages are lost, repeated or late.
+func TestMessages(t *testing.T) {
+	Convey("With a granted demand", t, func() {
+		var p pool.Pool
+
+		full(&p, online("a", 300))
+
+		Convey("the repeated demand gets the same slot", func() {
+			a := p.Ask(online("a", 300), at(5))
+			So(ids(a.Grants()), ShouldResemble, []string{"a"})
+
+			used, _ := p.Usage()
+			So(used, ShouldEqual, 1)
+		})
+
+		Convey("a report that was sent before the release does not bring the lease back", func() {
+			p.Release("a", "t", pool.None, at(5))
+			p.Report("vm", []pool.Lease{pool.NewLease("a", "vm", "t", pool.Online, at(300), 0)}, at(6))
+
+			used, _ := p.Usage()
+			So(used, ShouldEqual, 0)
+		})
+
+		Convey("a lease that its holder does not report is dropped once the grant must have arrived", func() {
+			p.Report("vm", nil, at(100))
+			used, _ := p.Usage()
+			So(used, ShouldEqual, 1)
+
+			p.Report("vm", nil, at(600))
+			used, _ = p.Usage()
+			So(used, ShouldEqual, 0)
+		})
+
+		Convey("the leases of a daemon that is silent are dropped", func() {
+			p.Report("vm", []pool.Lease{pool.NewLease("a", "vm", "t", pool.Online, at(300), 0)}, at(100))
+			p.Expire(at(5000))
+
+			used, _ := p.Usage()
+			So(used, ShouldEqual, 0)
+		})
+	})
+
+	Convey("An owner that takes over learns of leases from reports", t, func() {
+		var p pool.Pool
+
+		p.SetTargets([]pool.Target{pool.NewTarget("t", "a", 1)})
+		p.Report("other", []pool.Lease{pool.NewLease("x", "other", "t", pool.Online, at(300), 0)}, at(0))
+		So(ids(p.Ask(online("a", 300), at(1)).Grants()), ShouldBeEmpty)
+	})
+}
+
+// Guards against targets that get requests although they failed, and against targets that never get any again.
+func TestSuspectTargets(t *testing.T) {
+	Convey("With two targets, one of them in the caller's failure domain", t, func() {
+		var p pool.Pool
+
+		p.SetTargets([]pool.Target{pool.NewTarget("near", "a", 4), pool.NewTarget("far", "b", 4)})
+
+		ask := func(id string, ms int) string {
+			for _, g := range p.Ask(online(id, 300), at(ms)).Grants() {
+				return g.Target()
+			}
+
+			return ""
+		}
+
+		So(ask("a", 0), ShouldEqual, "near")
+
+		Convey("one that takes no connection is left alone, tried again and used after a success", func() {
+			p.Release("a", "near", pool.Unreachable, at(1))
+			So(ask("b", 2), ShouldEqual, "far")
+			So(ask("c", 300), ShouldEqual, "far")
+
+			p.SetTargets([]pool.Target{pool.NewTarget("near", "a", 4)})
+			So(ask("d", 301), ShouldEqual, "near")
+			So(ask("e", 302), ShouldEqual, "")
+
+			So(ids(p.Release("d", "near", pool.None, at(330)).Grants()), ShouldResemble, []string{"e"})
+			So(ask("f", 332), ShouldEqual, "near")
+		})
+
+		Convey("single spoiled answers do not set it aside", func() {
+			p.Release("a", "near", pool.Broken, at(1))
+			So(ask("b", 2), ShouldEqual, "near")
+		})
+
+		Convey("a demand that avoids it goes elsewhere", func() {
+			d := online("b", 300).Avoiding([]string{"near"})
+			So(p.Ask(d, at(1)).Grants()[0].Target(), ShouldEqual, "far")
+		})
+	})
+}
+
+// Guards against batch items that are late already and keep others from being on time.
+func TestLateItemsComeLast(t *testing.T) {
+	Convey("When a slot becomes free, the item that can still be on time gets it", t, func() {
+		var p pool.Pool
+
+		full(&p, online("a", 300))
+		p.Ask(item("late", 1000).Needing(5*time.Second), at(1))
+		p.Ask(item("timely", 9000).Needing(5*time.Second), at(2))
+		So(ids(p.Release("a", "t", pool.None, at(300)).Grants()), ShouldResemble, []string{"timely"})
+	})
+}
+
+func BenchmarkAskAndRelease(b *testing.B) {
+	var p pool.Pool
+
+	l := []pool.Target{}
+	for i := range 90 {
+		l = append(l, pool.NewTarget(fmt.Sprint("t", i), fmt.Sprint(i%5), 7))
+	}
+
+	p.SetTargets(l)
+
+	for i := range 500 {
+		p.Ask(online(fmt.Sprint("held", i), 300), at(0))
+	}
+
+	b.ReportAllocs()
+
+	for i := 0; b.Loop(); i++ {
+		id := fmt.Sprint("n", i)
+		a := p.Ask(online(id, 300), at(i))
+		p.Release(id, a.Grants()[0].Target(), pool.None, at(i))
+		p.Expire(at(i + 5000*i))
+	}
+}
--- /dev/null
+++ b/standin/store/store.go
@@ -0,0 +1,368 @@
+// Package store is a small stand-in for the platform's store: a log of keyed topics over HTTP, with scripted faults.
+// Tests and the stand-in command use it.
+package store
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Faults is the fault script in force. It is a message of the stand-in's control interface.
+type Faults struct {
+	Down       bool    `json:"down"`        // every call is refused and has no effect
+	Silent     bool    `json:"silent"`      // no call is answered, and none has an effect
+	LostShare  float64 `json:"lost_share"`  // share of appends that are made and not answered
+	LateMS     int     `json:"late_ms"`     // appends without an answer are made this much later, if their condition still holds
+	DelayMS    int     `json:"delay_ms"`    // delay of every answer
+	KeepLast   int     `json:"keep_last"`   // records of a partition that are kept; 0 for all
+	RefuseFrom string  `json:"refuse_from"` // IP number whose calls are refused
+}
+
+// Store is the stand-in. Use New.
+type Store struct {
+	mu     sync.Mutex
+	topics map[string]*partition
+	faults Faults
+	random *rand.Rand
+	calls  map[string]int
+}
+
+// partition is one partition of a topic.
+type partition struct {
+	first   int64
+	records [][]byte
+	newest  map[string]newest
+	changed chan struct{}
+}
+
+type newest struct {
+	offset int64
+	value  []byte
+}
+
+// longestWait bounds a read that waits.
+const longestWait = 30 * time.Second
+
+// New returns a stand-in whose faults are drawn from a seed.
+func New(seed uint64) *Store {
+	return &Store{topics: map[string]*partition{}, calls: map[string]int{}, random: rand.New(rand.NewPCG(seed, 1))} //nolint:gosec // repeatable faults
+}
+
+// Handler returns the HTTP interface.
+func (s *Store) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("POST /log-append", s.append)
+	m.HandleFunc("GET /log-read", s.read)
+	m.HandleFunc("GET /log-newest", s.newest)
+	m.HandleFunc("PUT /control/faults", s.putFaults)
+
+	return m
+}
+
+// SetFaults replaces the fault script.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.faults = f
+}
+
+// Calls returns the number of calls of a path.
+func (s *Store) Calls(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.calls[path]
+}
+
+// Put writes the record of a key of a topic, as the operator and the workers do.
+func (s *Store) Put(topic, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.partition(topic, "0").add(record(key, value), s.faults.KeepLast)
+}
+
+func record(key string, value []byte) []byte {
+	b := append([]byte{byte(len(key))}, key...)
+
+	return append(b, value...)
+}
+
+func (s *Store) partition(topic, part string) *partition {
+	k := topic + "/" + part
+
+	p, ok := s.topics[k]
+	if !ok {
+		p = &partition{newest: map[string]newest{}, changed: make(chan struct{})}
+		s.topics[k] = p
+	}
+
+	return p
+}
+
+func (p *partition) end() int64 { return p.first + int64(len(p.records)) }
+
+func (p *partition) add(b []byte, keep int) {
+	o := p.end()
+	p.records = append(p.records, b)
+
+	if n := 1 + int(b[0]); len(b) == n {
+		delete(p.newest, string(b[1:n]))
+	} else {
+		p.newest[string(b[1:n])] = newest{offset: o, value: b[n:]}
+	}
+
+	if d := len(p.records) - keep; keep > 0 && d > 0 {
+		p.first += int64(d)
+		p.records = slices.Clone(p.records[d:])
+	}
+
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// begin counts a call and applies the faults that hold for all calls. It returns false when the call is over.
+func (s *Store) begin(w http.ResponseWriter, r *http.Request) (Faults, bool) {
+	s.mu.Lock()
+	f := s.faults
+	s.calls[r.URL.Path]++
+	s.mu.Unlock()
+
+	switch {
+	case f.Silent:
+		_, _ = io.Copy(io.Discard, r.Body) // the end of the connection is noticed only behind the body
+		<-r.Context().Done()
+
+		return f, false
+	case f.Down, f.RefuseFrom != "" && len(r.RemoteAddr) > len(f.RefuseFrom) && r.RemoteAddr[:len(f.RefuseFrom)] == f.RefuseFrom:
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+
+		return f, false
+	}
+
+	select {
+	case <-time.After(time.Duration(f.DelayMS) * time.Millisecond):
+	case <-r.Context().Done():
+		return f, false
+	}
+
+	return f, true
+}
+
+func (s *Store) append(w http.ResponseWriter, r *http.Request) {
+	f, ok := s.begin(w, r)
+	if !ok {
+		return
+	}
+
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+
+	records, ok := split(b)
+	if !ok {
+		http.Error(w, "malformed records", http.StatusBadRequest)
+
+		return
+	}
+
+	q := r.URL.Query()
+
+	at := int64(-1)
+	if v := q.Get("at"); v != "" {
+		at, _ = strconv.ParseInt(v, 10, 64)
+	}
+
+	if s.loses(f) {
+		s.lose(f, q.Get("topic"), q.Get("part"), at, records)
+
+		return
+	}
+
+	o, end, made := s.make(q.Get("topic"), q.Get("part"), at, records)
+	if !made {
+		w.WriteHeader(http.StatusPreconditionFailed)
+	}
+
+	writeJSON(w, map[string]int64{"offset": o, "end": end})
+}
+
+func (s *Store) loses(f Faults) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.random.Float64() < f.LostShare
+}
+
+// lose makes an append, now or later, and breaks the connection without an answer.
+func (s *Store) lose(f Faults, topic, part string, at int64, records [][]byte) {
+	if f.LateMS > 0 {
+		time.AfterFunc(time.Duration(f.LateMS)*time.Millisecond, func() { s.make(topic, part, at, records) })
+	} else {
+		s.make(topic, part, at, records)
+	}
+
+	panic(http.ErrAbortHandler)
+}
+
+// make appends records unless the partition ends elsewhere.
+func (s *Store) make(topic, part string, at int64, records [][]byte) (offset, end int64, made bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	p := s.partition(topic, part)
+	offset = p.end()
+
+	if at >= 0 && at != offset {
+		return 0, offset, false
+	}
+
+	for _, b := range records {
+		p.add(b, s.faults.KeepLast)
+	}
+
+	return offset, p.end(), true
+}
+
+// split returns the records of a body, each behind its length.
+func split(b []byte) ([][]byte, bool) {
+	const length = 4
+
+	var l [][]byte
+
+	for len(b) > 0 {
+		if len(b) < length {
+			return nil, false
+		}
+
+		n := int(binary.BigEndian.Uint32(b))
+		if n < 1 || n > len(b)-length || int(b[length]) > n-1 {
+			return nil, false
+		}
+
+		l = append(l, b[length:length+n])
+		b = b[length+n:]
+	}
+
+	return l, true
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request) {
+	if _, ok := s.begin(w, r); !ok {
+		return
+	}
+
+	q := r.URL.Query()
+	from, _ := strconv.ParseInt(q.Get("from"), 10, 64)
+	wait, _ := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
+
+	p, records, changed := s.from(q.Get("topic"), q.Get("part"), from)
+	if from >= p.first && len(records) == 0 && wait > 0 {
+		select {
+		case <-changed:
+		case <-time.After(min(longestWait, time.Duration(wait)*time.Millisecond)):
+		case <-r.Context().Done():
+			return
+		}
+
+		p, records, _ = s.from(q.Get("topic"), q.Get("part"), from)
+	}
+
+	if from < p.first {
+		w.WriteHeader(http.StatusGone)
+		writeJSON(w, map[string]int64{"first": p.first})
+
+		return
+	}
+
+	b := binary.BigEndian.AppendUint64(nil, uint64(p.end())) //nolint:gosec // an offset
+	b = binary.BigEndian.AppendUint64(b, uint64(p.first))    //nolint:gosec // an offset
+
+	for _, v := range records {
+		b = binary.BigEndian.AppendUint32(b, uint32(len(v))) //nolint:gosec // small
+		b = append(b, v...)
+	}
+
+	_, _ = w.Write(b)
+}
+
+// from returns a copy of the bounds of a partition and its records from an offset on.
+func (s *Store) from(topic, part string, from int64) (partition, [][]byte, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	p := s.partition(topic, part)
+
+	var l [][]byte
+	if from >= p.first && from < p.end() {
+		l = slices.Clone(p.records[from-p.first:])
+	}
+
+	return partition{first: p.first, records: p.records}, l, p.changed
+}
+
+// pageRecords is the number of records in one page of a listing.
+const pageRecords = 100
+
+type newestItem struct {
+	Key    string `json:"key"`
+	Value  []byte `json:"value"`
+	Offset int64  `json:"offset"`
+}
+
+func (s *Store) newest(w http.ResponseWriter, r *http.Request) {
+	if _, ok := s.begin(w, r); !ok {
+		return
+	}
+
+	q := r.URL.Query()
+
+	s.mu.Lock()
+	p := s.partition(q.Get("topic"), q.Get("part"))
+	l := []newestItem{}
+
+	for k, v := range p.newest {
+		if k > q.Get("after") {
+			l = append(l, newestItem{Key: k, Value: v.value, Offset: v.offset})
+		}
+	}
+
+	end := p.end()
+	s.mu.Unlock()
+
+	slices.SortFunc(l, func(a, b newestItem) int {
+		if a.Key < b.Key {
+			return -1
+		}
+
+		return 1
+	})
+
+	more := len(l) > pageRecords
+	writeJSON(w, map[string]any{"items": l[:min(len(l), pageRecords)], "has_more": more, "end": end})
+}
+
+func (s *Store) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+
+		return
+	}
+
+	s.SetFaults(f)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/standin/worker/worker.go
@@ -0,0 +1,251 @@
+// Package worker is a small stand-in for a worker of the platform: it runs a number of requests at a time in the order
+// in which they come, streams events, resumes a stream at any event, and drops a request when its connection closes.
+package worker
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Options are the settings of a worker.
+type Options struct {
+	ID     string        // name of the worker
+	Slots  int           // requests at a time
+	Queue  int           // requests that wait
+	Events int           // events of an answer
+	Gap    time.Duration // time between two events
+}
+
+// Faults is the fault script in force. It is a message of the stand-in's control interface.
+type Faults struct {
+	BreakAfter int    `json:"break_after"` // answers break off behind this event; 0 for never
+	TearEvent  bool   `json:"tear_event"`  // an answer that breaks off ends in the middle of an event
+	Breaks     int    `json:"breaks"`      // number of answers that break off; 0 for all
+	Silent     bool   `json:"silent"`      // requests are read and not answered
+	Fail       string `json:"fail"`        // requests whose body has this text fail with status 500
+	Impossible string `json:"impossible"`  // requests whose body has this text get status 422
+}
+
+// Run is one request that reached the worker and ran.
+type Run struct {
+	ID    string `json:"id"`
+	After int    `json:"after"` // event behind which the run went on
+	Sent  int    `json:"sent"`  // events sent
+	Whole bool   `json:"whole"`
+}
+
+// Worker is the stand-in. Use New.
+type Worker struct {
+	options Options
+	slots   chan struct{}
+
+	mu      sync.Mutex
+	faults  Faults
+	waiting int
+	runs    []*Run
+}
+
+// New returns a worker.
+func New(o Options) *Worker { return &Worker{options: o, slots: make(chan struct{}, o.Slots)} }
+
+// SetFaults replaces the fault script.
+func (k *Worker) SetFaults(f Faults) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+
+	k.faults = f
+}
+
+// Runs returns the requests that ran, in order.
+func (k *Worker) Runs() []Run {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+
+	l := make([]Run, len(k.runs))
+	for i, r := range k.runs {
+		l[i] = *r
+	}
+
+	return l
+}
+
+// Handler returns the HTTP interface.
+func (k *Worker) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /control/runs", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(k.Runs()) })
+	m.HandleFunc("PUT /control/faults", func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+
+			return
+		}
+
+		k.SetFaults(f)
+	})
+	m.HandleFunc("/", k.serve)
+
+	return m
+}
+
+func (k *Worker) serve(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+
+	if e := r.Header.Get("Expect-Instance"); e != "" && e != k.options.ID {
+		w.Header().Set("Instance-Id", k.options.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+
+		return
+	}
+
+	if !k.enter(r) {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+
+		return
+	}
+	defer func() { <-k.slots }()
+
+	if r.Context().Err() == nil {
+		k.run(w, r, id, string(b))
+	}
+}
+
+// enter waits for a slot, and reports whether there is room to wait.
+func (k *Worker) enter(r *http.Request) bool {
+	select {
+	case k.slots <- struct{}{}:
+		return true
+	default:
+	}
+
+	k.mu.Lock()
+	full := k.waiting >= k.options.Queue
+	if !full {
+		k.waiting++
+	}
+	k.mu.Unlock()
+
+	if full {
+		return false
+	}
+
+	defer func() {
+		k.mu.Lock()
+		k.waiting--
+		k.mu.Unlock()
+	}()
+
+	select {
+	case k.slots <- struct{}{}:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// start records a run and returns it with the faults in force and the event behind which it breaks off.
+func (k *Worker) start(id string, after int) (*Run, Faults, int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+
+	v := &Run{ID: id, After: after}
+	k.runs = append(k.runs, v)
+	f := k.faults
+	end := 0
+
+	if f.BreakAfter > 0 && after < f.BreakAfter {
+		end = f.BreakAfter
+
+		if k.faults.Breaks > 0 {
+			if k.faults.Breaks--; k.faults.Breaks == 0 {
+				k.faults.BreakAfter = 0
+			}
+		}
+	}
+
+	return v, f, end
+}
+
+func (k *Worker) run(w http.ResponseWriter, r *http.Request, id, body string) {
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	v, f, end := k.start(id, after)
+
+	w.Header().Set("Server-Signature", k.options.ID+"."+id)
+
+	switch {
+	case f.Silent:
+		<-r.Context().Done()
+
+		return
+	case f.Fail != "" && strings.Contains(body, f.Fail):
+		w.WriteHeader(http.StatusInternalServerError)
+
+		return
+	case f.Impossible != "" && strings.Contains(body, f.Impossible):
+		w.WriteHeader(http.StatusUnprocessableEntity)
+
+		return
+	}
+
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+
+	for n := after + 1; n <= k.options.Events; n++ {
+		select {
+		case <-time.After(k.options.Gap):
+		case <-r.Context().Done():
+			return
+		}
+
+		if end > 0 && n > end {
+			if f.TearEvent {
+				_, _ = fmt.Fprintf(w, "id: %d\ndata: %s", n, id[:len(id)/2])
+				flush(w)
+			}
+
+			panic(http.ErrAbortHandler)
+		}
+
+		_, _ = fmt.Fprint(w, Event(id, n))
+		flush(w)
+
+		k.mu.Lock()
+		v.Sent = n
+		k.mu.Unlock()
+	}
+
+	k.mu.Lock()
+	v.Whole = true
+	k.mu.Unlock()
+}
+
+func flush(w http.ResponseWriter) { _ = http.NewResponseController(w).Flush() }
+
+// Event returns event n of the answer to a request, as it is sent.
+func Event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", n, Data(id, n)) }
+
+// Data returns the data of event n of the answer to a request.
+func Data(id string, n int) string { return fmt.Sprintf("%s-%d", id, n) }
+
+// Text returns the data of all events of an answer, as the result of a batch item has it.
+func Text(id string, events int) string {
+	l := make([]string, events)
+	for i := range l {
+		l[i] = Data(id, i+1)
+	}
+
+	return strings.Join(l, "\n")
+}
