Hand results over that are not listed yet, and wait before silent daemons' jobs are taken over

Change: a hand-over carries results that are not listed yet; the work of a silent daemon is taken over after 3.5 s instead of 0.75 s, that of a daemon that restarted at once.

The longer wait makes more items late.

--- a/batches/handover.go
+++ b/batches/handover.go
@@ -23,6 +23,18 @@
 	Text  []byte `msgpack:"text"`
 	Last  int    `msgpack:"last"` // number of the last event
 	Fails int    `msgpack:"fails"`
+	Ended bool   `msgpack:"ended"` // the item has a result that is not listed yet
+	Given bool   `msgpack:"given"` // the result is that it was given up
+	Why   string `msgpack:"why"`
+}
+
+// result returns the result of an item that has ended.
+func (p ProgressMessage) result() batch.Result {
+	if p.Given {
+		return batch.NewResult(p.ID, "", false)
+	}
+
+	return batch.NewResult(p.ID, string(p.Text), true)
 }
 
 // AdoptReply says whether the job was taken.
@@ -52,7 +64,12 @@
 
 		for _, i := range v.Open() {
 			if i.ID() == p.ID {
-				r.running[k] = &run{job: q.Job, item: i, cancel: func() {}, text: p.Text, last: p.Last, fails: p.Fails}
+				u := &run{job: q.Job, item: i, cancel: func() {}, text: p.Text, last: p.Last, fails: p.Fails, active: p.Ended}
+				r.running[k] = u
+
+				if p.Ended {
+					r.wg.Go(func() { r.list(r.life, u, p.result(), p.Why) })
+				}
 			}
 		}
 	}
@@ -111,9 +128,15 @@
 	q := AdoptRequest{Job: v.ID()}
 
 	for _, u := range runs {
+		r.mu.Lock()
+		p := ProgressMessage{ID: u.item.ID(), Fails: u.fails, Ended: u.ended, Given: u.given, Why: u.why}
+		r.mu.Unlock()
+
 		u.mu.Lock()
-		q.Items = append(q.Items, ProgressMessage{ID: u.item.ID(), Text: append([]byte(nil), u.text...), Last: u.last, Fails: u.fails})
+		p.Text, p.Last = append([]byte(nil), u.text...), u.last
 		u.mu.Unlock()
+
+		q.Items = append(q.Items, p)
 	}
 
 	self := r.peers.Self()
--- a/batches/runner.go
+++ b/batches/runner.go
@@ -59,6 +59,7 @@
 
 	mu      sync.Mutex
 	running map[string]*run
+	life    context.Context //nolint:containedctx // the life of the actor, for results of jobs that were handed over
 	adopted map[string]bool // jobs that their daemon handed over when it left
 	gone    map[string]time.Time
 	leaving bool
@@ -72,7 +73,10 @@
 	item   batch.Item
 	cancel context.CancelFunc
 	active bool
-	done   bool // has a result that is being listed
+	done   bool // has a result that is listed
+	ended  bool // has a result, which may not be listed yet
+	given  bool // the result is that the item was given up
+	why    string
 
 	mu    sync.Mutex
 	text  []byte
@@ -86,7 +90,7 @@
 func NewRunner(b *Batches, h filter.Handler, t Routes, p Peers, c Caller, clock func() time.Time, z zerolog.Logger) *Runner {
 	return &Runner{
 		batches: b, chain: h, routes: t, peers: p, caller: c, clock: clock, logger: z,
-		running: map[string]*run{}, adopted: map[string]bool{}, gone: map[string]time.Time{},
+		running: map[string]*run{}, life: context.Background(), adopted: map[string]bool{}, gone: map[string]time.Time{},
 	}
 }
 
@@ -97,6 +101,10 @@
 	x, stop := context.WithCancel(ctx)
 	defer stop()
 
+	r.mu.Lock()
+	r.life = x
+	r.mu.Unlock()
+
 	changed := make(chan struct{}, 1)
 	for _, p := range r.batches.partitions {
 		r.wg.Go(func() { signal(x, p.replica, changed) })
@@ -381,6 +389,11 @@
 	e.Str("event", "item_ended").Str("job", u.job).Str("item", v.Item()).Bool("done", v.Done()).Int("failed_runs", u.fails).
 		Str("reason", why).Msg("an item has a result")
 
+	r.mu.Lock()
+	u.ended, u.why = true, why
+	u.given = !v.Done()
+	r.mu.Unlock()
+
 	for ctx.Err() == nil {
 		err := r.batches.List(ctx, u.job, v)
 		if err == nil {
--- a/internal/cmd/cmd_status.go
+++ b/internal/cmd/cmd_status.go
@@ -59,7 +59,7 @@
 const defaultSample = 2 * time.Second
 
 // page is the page that says what to do about a line of the screen.
-const page = "docs/operations.md"
+const page = "docs/OPERATIONS.md"
 
 // screen is what status prints.
 type screen struct {
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -25,6 +25,10 @@
 	// settleAfter is how long a daemon that has not answered yet is not taken for lost: after its record was read, and
 	// after this daemon started or was paused. It covers several heartbeats.
 	settleAfter = 1500 * time.Millisecond
+	// goneAfter is the silence after which the work of a daemon is taken over by others. Work that is due within many
+	// seconds can wait for a short cut to end, and would run twice otherwise. A daemon that restarts is known to have
+	// lost its work at once.
+	goneAfter = 3500 * time.Millisecond
 	// forgetAfter is the time after which a daemon that does not answer is forgotten. Its record brings it back.
 	forgetAfter = 2 * time.Minute
 )
@@ -218,8 +222,8 @@
 	return l
 }
 
-// Alive reports whether the process of a VM that started at a time is thought live, leaving or not. This daemon is. A
-// daemon that may not have had the time to answer is.
+// Alive reports whether the process of a VM that started at a time is thought to go on with its work, leaving or not.
+// This daemon is. A daemon that may not have had the time to answer is, and so is one that is silent for a short time.
 func (t *Table) Alive(vm string, start int64, now time.Time) bool {
 	if v := t.Self(); v.VM == vm {
 		return v.Start == start
@@ -239,7 +243,7 @@
 	switch {
 	case ok && s.peer.Start != start:
 		return s.peer.Start < start // its record is not read yet
-	case ok && now.Sub(s.heard) <= silentAfter*Interval(n):
+	case ok && now.Sub(s.heard) <= max(goneAfter, silentAfter*Interval(n)):
 		return true
 	case !settled:
 		return true
