--- a/batch/append.go
+++ b/batch/append.go
@@ -178,6 +178,35 @@
 	return []stream.Keyed{k}, err
 }
 
+// Events are events of an item that the log does not have, up to number last. They are of run chain, and go on from
+// number from of run onto.
+type Events struct {
+	text        string
+	from, last  int
+	chain, onto uint64
+}
+
+// NewEvents returns events of a run that go on from those of the same run or of another one.
+func NewEvents(text string, from, last int, chain, onto uint64) Events {
+	return Events{text: text, from: from, last: last, chain: chain, onto: onto}
+}
+
+// Size returns the length of the text in bytes.
+func (e Events) Size() int { return len(e.text) }
+
+// Save returns the record of events of an item; none when the item is listed, or the log has other events of it. Events
+// of two runs of which neither goes on from the other must not be joined.
+func (r *Replica) Save(id, item string, e Events) ([]stream.Keyed, error) {
+	last, chain := r.Saved(id, item)
+	if r.Listed(id, item) || last != e.from || chain != e.onto {
+		return nil, nil
+	}
+
+	k, err := encode(key(progressPrefix, id, item, itoa(e.from)), progressRecord{Last: e.last, Text: e.text, Chain: e.chain, Onto: e.onto})
+
+	return []stream.Keyed{k}, err
+}
+
 // Expired returns records that drop the jobs whose results nobody may read any more: those that are finished or may be
 // given up, and were accepted some time ago.
 func (r *Replica) Expired(now time.Time, keep time.Duration) []stream.Keyed {
@@ -208,6 +237,12 @@
 			}
 		}
 
+		for item, s := range j.saved {
+			for _, n := range s.from {
+				l = append(l, stream.NewKeyed(0, key(progressPrefix, id, item, itoa(n)), nil))
+			}
+		}
+
 		for item := range j.fails {
 			l = append(l, stream.NewKeyed(0, key(failPrefix, id, item), nil))
 		}
--- a/batch/batch.go
+++ b/batch/batch.go
@@ -112,10 +112,35 @@
 	listed  map[string]bool
 	fails   map[string]int
 	parts   map[int]int // records of the long texts, by position
+	saved   map[string]*saved
 	ended   bool
 	changed chan struct{}
 }
 
+// saved is the progress of an item that the log has.
+type saved struct {
+	Progress
+
+	from []int // numbers in the keys of its records
+}
+
+// Progress is how far an item has come.
+type Progress struct {
+	text  []byte
+	last  int
+	chain uint64
+}
+
+// Text returns the data of the events so far, which must not be changed.
+func (p Progress) Text() []byte { return p.text }
+
+// Last returns the number of the last event; 0 when there is none.
+func (p Progress) Last() int { return p.last }
+
+// Chain returns the number of the run that had the last event; 0 when there is none. Only events of that run, or of one
+// that was asked to go on behind its last event, may follow.
+func (p Progress) Chain() uint64 { return p.chain }
+
 // View is what a replica knows of a job at one moment.
 type View struct {
 	id      string
@@ -124,6 +149,7 @@
 	total   int
 	open    []Item
 	fails   map[string]int
+	saved   map[string]Progress
 	at      time.Time
 	within  time.Duration
 	retain  time.Duration
@@ -150,6 +176,9 @@
 // Fails returns the number of failed runs of an item.
 func (v View) Fails(item string) int { return v.fails[item] }
 
+// Progress returns how far an item has come that is not listed.
+func (v View) Progress(item string) Progress { return v.saved[item] }
+
 // Due returns the time at which all results are due.
 func (v View) Due() time.Time { return v.at.Add(v.within) }
 
@@ -184,7 +213,13 @@
 		v.fails[k] = n
 	}
 
+	v.saved = make(map[string]Progress, len(j.saved))
+
 	for _, i := range j.items {
+		if s, ok := j.saved[i.id]; ok && !j.listed[i.id] {
+			v.saved[i.id] = Progress{text: s.text[:len(s.text):len(s.text)], last: s.last, chain: s.chain}
+		}
+
 		if !j.listed[i.id] {
 			v.open = append(v.open, i)
 		}
--- a/batch/record.go
+++ b/batch/record.go
@@ -54,7 +54,18 @@
 	Runs int `msgpack:"runs"`
 }
 
+// progressRecord has events of an item that is not listed, behind those of the records before it. Its key is
+// p/JOB/ITEM/NUMBER with the number of the event before.
+type progressRecord struct {
+	Last  int    `msgpack:"last"`  // number of the last event
+	Text  string `msgpack:"text"`  // data of the events, behind a separator unless it is the first
+	Chain uint64 `msgpack:"chain"` // the run that the events are of
+	Onto  uint64 `msgpack:"onto"`  // the run whose events they go on from; 0 for none
+}
+
 const (
+	progressPrefix = "p"
+
 	jobPrefix    = "j"
 	chunkPrefix  = "c"
 	resultPrefix = "r"
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -1,6 +1,8 @@
 package batch
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 	"sync"
 
@@ -69,9 +71,28 @@
 		}
 	}
 
+	r.resetProgress(l)
+
 	r.notify(nil)
 }
 
+// resetProgress adds the records of progress in the order in which they were appended, as each goes on from the last.
+func (r *Replica) resetProgress(l []stream.Keyed) {
+	var p []stream.Keyed
+
+	for _, k := range l {
+		if x, _, _ := parse(k.Key()); x == progressPrefix {
+			p = append(p, k)
+		}
+	}
+
+	slices.SortFunc(p, func(a, b stream.Keyed) int { return cmp.Compare(a.Offset(), b.Offset()) })
+
+	for _, k := range p {
+		r.apply(k)
+	}
+}
+
 // Apply adds a record.
 func (r *Replica) Apply(k stream.Keyed) {
 	r.mu.Lock()
@@ -99,6 +120,8 @@
 		ok = r.applyJob(id, k)
 	case resultPrefix:
 		ok = r.applyResult(id, rest, k)
+	case progressPrefix:
+		ok = r.applyProgress(id, rest, k)
 	case failPrefix:
 		ok = r.applyFail(id, rest, k)
 	case endPrefix:
@@ -185,7 +208,7 @@
 		return true
 	}
 
-	j := &job{id: id, record: v, index: map[string]int{}, listed: map[string]bool{}, fails: map[string]int{}, parts: map[int]int{}, changed: make(chan struct{})}
+	j := &job{id: id, record: v, index: map[string]int{}, listed: map[string]bool{}, fails: map[string]int{}, parts: map[int]int{}, saved: map[string]*saved{}, changed: make(chan struct{})}
 
 	for n := range v.Chunks {
 		for _, i := range r.chunks[id][n] {
@@ -244,6 +267,10 @@
 
 	j.listed[v.Item] = true
 
+	if s, ok := j.saved[v.Item]; ok {
+		s.text = nil
+	}
+
 	if i, known := j.index[v.Item]; known {
 		j.items[i].body, j.items[i].header = nil, nil // only items that are not listed are asked for
 	}
@@ -266,6 +293,47 @@
 	return b.String()
 }
 
+// applyProgress adds events of an item. Records that do not go on from the last one, and those of items that are listed,
+// are only remembered, so that they can be dropped.
+func (r *Replica) applyProgress(id, rest string, k stream.Keyed) bool {
+	var v progressRecord
+
+	item, n, _ := strings.Cut(rest, separator)
+	from, ok := number(n)
+	j, found := r.jobs[id]
+
+	if !ok || !found || decode(k, &v) != nil {
+		return false
+	}
+
+	s, known := j.saved[item]
+	if !known {
+		s = &saved{}
+		j.saved[item] = s
+	}
+
+	s.from = append(s.from, from)
+
+	if from == s.last && v.Onto == s.chain && !j.listed[item] && !j.ended {
+		s.text = append(s.text, v.Text...)
+		s.last, s.chain = v.Last, v.Chain
+	}
+
+	return true
+}
+
+// Saved returns the number of the last event of an item that the log has, and the run that it is of.
+func (r *Replica) Saved(id, item string) (last int, chain uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if j, ok := r.jobs[id]; ok && j.saved[item] != nil {
+		return j.saved[item].last, j.saved[item].chain
+	}
+
+	return 0, 0
+}
+
 func (r *Replica) applyFail(id, rest string, k stream.Keyed) bool {
 	var v failRecord
 
--- a/batches/batches.go
+++ b/batches/batches.go
@@ -244,6 +244,16 @@
 	return b.partition(id).writer.fail(ctx, id, item, runs)
 }
 
+// Save records events of an item that is running, so that another daemon can go on behind them.
+func (b *Batches) Save(ctx context.Context, id, item string, e batch.Events) error {
+	return b.partition(id).writer.save(ctx, id, item, e)
+}
+
+// Saved returns the number of the last event of an item that the log has, and the run that it is of.
+func (b *Batches) Saved(id, item string) (last int, chain uint64) {
+	return b.partition(id).replica.Saved(id, item)
+}
+
 // Listed reports whether an item can get no result any more.
 func (b *Batches) Listed(id, item string) bool { return b.partition(id).replica.Listed(id, item) }
 
--- a/batches/handover.go
+++ b/batches/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -26,6 +27,7 @@
 	Ended bool   `msgpack:"ended"` // the item has a result that is not listed yet
 	Given bool   `msgpack:"given"` // the result is that it was given up
 	Why   string `msgpack:"why"`
+	Onto  uint64 `msgpack:"onto"` // the run whose events the log has
 }
 
 // result returns the result of an item that has ended.
@@ -64,7 +66,10 @@
 
 		for _, i := range v.Open() {
 			if i.ID() == p.ID {
-				u := &run{job: q.Job, item: i, cancel: func() {}, text: p.Text, last: p.Last, fails: p.Fails, active: p.Ended}
+				u := &run{
+					job: q.Job, item: i, cancel: func() {}, text: p.Text, last: p.Last, fails: p.Fails, active: p.Ended,
+					ends: []mark{{last: p.Last, bytes: len(p.Text)}}, chain: rand.Uint64(), onto: p.Onto, base: p.Last,
+				}
 				r.running[k] = u
 
 				if p.Ended {
@@ -133,7 +138,10 @@
 		r.mu.Unlock()
 
 		u.mu.Lock()
-		p.Text, p.Last = append([]byte(nil), u.text...), u.last
+		p.Text, p.Last, p.Onto = append([]byte(nil), u.text...), u.last, u.onto
+		if _, chain := r.batches.Saved(u.job, u.item.ID()); chain == u.chain {
+			p.Onto = chain
+		}
 		u.mu.Unlock()
 
 		q.Items = append(q.Items, p)
--- a/batches/runner.go
+++ b/batches/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -80,6 +81,10 @@
 
 	mu    sync.Mutex
 	text  []byte
+	chain uint64 // tells the events that this daemon had of the item from those of other runs
+	onto  uint64 // the run that they go on from
+	base  int    // the event of that run behind which they go on
+	ends  []mark // where events of the text end, from the last record of progress on
 	last  int
 	fails int
 	delay time.Duration
@@ -110,6 +115,8 @@
 		r.wg.Go(func() { signal(x, p.replica, changed) })
 	}
 
+	r.wg.Go(func() { r.save(x) })
+
 	for x.Err() == nil {
 		r.pass(x)
 
@@ -242,25 +249,29 @@
 	}
 
 	for _, i := range v.Open() {
-		if u := r.take(v.ID(), i, v.Fails(i.ID()), now); u != nil {
+		if u := r.take(v, i, now); u != nil {
 			r.wg.Go(func() { r.list(ctx, u, batch.NewResult(i.ID(), "", false), "the route of the job is gone") })
 		}
 	}
 }
 
 // take marks an item as active, unless it is, it has to wait, or too many are.
-func (r *Runner) take(job string, i batch.Item, fails int, now time.Time) *run {
+func (r *Runner) take(v batch.View, i batch.Item, now time.Time) *run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	k := job + "/" + i.ID()
+	k := v.ID() + "/" + i.ID()
 
 	u, ok := r.running[k]
 	if !ok {
-		u = &run{job: job, item: i, cancel: func() {}, fails: fails}
+		u = &run{job: v.ID(), item: i, cancel: func() {}, fails: v.Fails(i.ID()), chain: rand.Uint64()}
 		r.running[k] = u
 	}
 
+	if !u.active {
+		u.goOn(v.Progress(i.ID()))
+	}
+
 	if u.active || u.done || now.Before(u.next) || r.leaving {
 		return nil
 	}
@@ -283,7 +294,7 @@
 }
 
 func (r *Runner) startItem(ctx context.Context, v batch.View, i batch.Item, now time.Time) {
-	u := r.take(v.ID(), i, v.Fails(i.ID()), now)
+	u := r.take(v, i, now)
 	if u == nil {
 		return
 	}
@@ -363,7 +374,9 @@
 // failed counts a run that the target reports as failed.
 func (r *Runner) failed(ctx context.Context, u *run, t routing.Route) {
 	u.fails++
-	u.text, u.last = nil, 0
+	u.mu.Lock()
+	u.text, u.last, u.ends, u.chain, u.onto, u.base = nil, 0, nil, rand.Uint64(), 0, 0
+	u.mu.Unlock()
 
 	if u.fails >= t.Attempts() {
 		r.list(ctx, u, batch.NewResult(u.item.ID(), "", false), "all runs of the item failed")
@@ -447,6 +460,7 @@
 
 		u.text = append(u.text, e.Text()...)
 		u.last = e.Index()
+		u.ends = append(u.ends, mark{last: u.last, bytes: len(u.text)})
 
 		now := time.Now()
 		if u.last > 1 {
@@ -459,6 +473,18 @@
 	return nil
 }
 
+// goOn takes over what the log has of an item, if that is more.
+func (u *run) goOn(p batch.Progress) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+
+	if p.Last() > u.last {
+		u.text, u.last = append([]byte(nil), p.Text()...), p.Last()
+		u.chain, u.onto, u.base = rand.Uint64(), p.Chain(), p.Last()
+		u.ends = []mark{{last: u.last, bytes: len(u.text)}}
+	}
+}
+
 // Running returns the number of items that run or wait for a slot.
 func (r *Runner) Running() int {
 	r.mu.Lock()
--- a/batches/writer.go
+++ b/batches/writer.go
@@ -111,6 +111,16 @@
 	return w.change(ctx, func(*batch.Listing) ([]stream.Keyed, error) { return w.partition.replica.Fail(id, item, runs) })
 }
 
+func (w *writer) save(ctx context.Context, id, item string, e batch.Events) error {
+	return w.change(ctx, func(*batch.Listing) ([]stream.Keyed, error) {
+		if e.Size() > w.sizes.record/2 { //nolint:mnd // leaves room for the key and the encoding
+			return nil, nil
+		}
+
+		return w.partition.replica.Save(id, item, e)
+	})
+}
+
 // change queues a change and waits until it is in the log. An error with the effect NotRun means that it is not in the
 // log and never will be.
 func (w *writer) change(ctx context.Context, build func(*batch.Listing) ([]stream.Keyed, error)) error {
