--- a/imports_test.go
+++ b/imports_test.go
@@ -3,6 +3,7 @@
 import (
 	"go/parser"
 	"go/token"
+	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -14,7 +15,39 @@
 // decisions are the packages that do no input or output.
 var decisions = []string{
 	"outcome", "finding", "shard", "filter", "config", "answers", "journal", "appender", "snapshot", "lease", "job",
-	"sched", "balance", "retry", "member", "drain", "place",
+	"sched", "balance", "retry", "member", "drain", "place", "routing", "fleet", "pool", "batch", "stream",
+}
+
+// wireNames are names of the platform's wire form.
+var wireNames = []string{
+	"Server-Signature", "Not-Executed", "Expect-Instance", "Prompt-Prefix", "Deadline-Ms", "Wait-Ms", "Last-Event-Id",
+	"log-append", "log-read", "log-newest", "keyed.op", "keyed.servers", "latency_slo_ms", "dead_letter", "/lots/",
+}
+
+// Guards against the platform's names in the product, which would tie it to one platform.
+func TestPlatformNamesStayInTheAdapter(t *testing.T) {
+	Convey("Only the adapter, the stand-ins and tests know the platform's wire form", t, func() {
+		err := filepath.WalkDir(".", func(p string, d os.DirEntry, err error) error {
+			if err != nil || d.IsDir() || !strings.HasSuffix(p, ".go") || strings.HasSuffix(p, "_test.go") {
+				return err
+			}
+
+			if strings.HasPrefix(p, "platform") || strings.HasPrefix(p, "standin") {
+				return nil
+			}
+
+			b, err := os.ReadFile(p)
+
+			for _, n := range wireNames {
+				if strings.Contains(string(b), n) {
+					So(p, ShouldNotEndWith, ".go")
+				}
+			}
+
+			return err
+		})
+		So(err, ShouldBeNil)
+	})
 }
 
 // Guards against a decision package that reaches the network or the machine, which would tie it to one front end.
