Let the adopted item run before the other daemon records more, in its test

Cause: TestRunnerGoesOn failed once beside load: the other daemon recorded event 14 before the item was started, so that it rightly went on behind event 14 and not 12.

Change: the test waits until the item was asked for.

--- a/batches/runner_test.go
+++ b/batches/runner_test.go
@@ -157,6 +157,16 @@
 				{ID: "m-0", Text: []byte(texts(1, 12)), Last: 12, Onto: 7},
 			}}, &a), ShouldBeNil)
 			So(a.Taken, ShouldBeTrue)
+
+			// The item runs before the other daemon records more; otherwise it would go on behind that.
+			for range 200 {
+				if len(g.asked("m-0")) > 0 {
+					break
+				}
+
+				time.Sleep(5 * time.Millisecond)
+			}
+
 			So(other.Save(ctx, id, "m-0", batch.NewEvents(texts(11, 14), 10, 14, 7, 7)), ShouldBeNil)
 			time.Sleep(2 * time.Second)
 			end()
