Follow partitions of jobs at three daemons of each failure domain, and bound what grows with the daemons

Cause: on the grown sites every daemon replayed all jobs, so that the bytes and calls of the store grew with the square of the daemons; the owner of the slots took 1,300 reports a second, could be a VM with a fifth of a core, and searched all targets for each of thousands of batch demands at each release.

Change: partitions are followed by the strongest three daemons of each failure domain (mesh.Share, batches.Assigner), and other daemons take the calls of their callers there (batches.Gateway). Duties go to the VMs with the most processor time (setting processor). Reports of slots and reads of target entries are paced by the number of daemons, batch demands are repeated every 2 s, and the pool stops at the last free slot. Entries that only renew themselves are not logged any more.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -35,6 +35,9 @@
 // Body returns the body, which must not be changed.
 func (i Item) Body() []byte { return i.body }
 
+// Tokens returns the size in tokens.
+func (i Item) Tokens() int { return i.tokens }
+
 // Runner is the process that runs a job while it is live.
 type Runner struct {
 	vm    string
@@ -81,6 +84,24 @@
 // ID returns the identifier of the job.
 func (s Submission) ID() string { return s.id }
 
+// Host returns the host that the job was submitted to.
+func (s Submission) Host() string { return s.host }
+
+// Path returns the path that the job was submitted to.
+func (s Submission) Path() string { return s.path }
+
+// Items returns the items, which must not be changed.
+func (s Submission) Items() []Item { return s.items }
+
+// At returns the time at which the job is accepted.
+func (s Submission) At() time.Time { return s.at }
+
+// Within returns the time after which all results are due.
+func (s Submission) Within() time.Duration { return s.within }
+
+// Retain returns the time after which items may be given up.
+func (s Submission) Retain() time.Duration { return s.retain }
+
 // Result is an item that is listed.
 type Result struct {
 	item string
--- a/batches/batches.go
+++ b/batches/batches.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -31,58 +32,107 @@
 // Partitions returns the number of partitions.
 func (s Sizes) Partitions() int { return s.partitions }
 
-// partition is one partition of the stream with what this daemon appends to it.
+// partition is this daemon's copy of one partition of the stream, with what it appends to it.
 type partition struct {
+	number   int
 	replica  *batch.Replica
 	follower *keyed.Follower
 	writer   *writer
+	stop     context.CancelFunc
+	ended    chan struct{} // closed when nothing of the copy runs any more
 }
 
-// Batches accepts, reads and ends jobs.
+// Batches accepts, reads and ends the jobs of the partitions that this daemon follows.
 type Batches struct {
-	partitions []*partition
-	clock      func() time.Time
-	self       batch.Runner
-	logger     zerolog.Logger
+	stream  keyed.Log
+	sizes   Sizes
+	clock   func() time.Time
+	self    batch.Runner
+	logger  zerolog.Logger
+	shards  []followed
+	settled chan struct{} // closed once it is decided which partitions are followed
+	changed chan struct{} // has a value when a job changed
+}
+
+// followed has the copy of one partition.
+type followed struct {
+	mu   sync.Mutex
+	copy *partition // nil while the partition is not followed here
 }
 
 // New returns the controller. self is this process, which runs the jobs that it accepts.
 func New(l keyed.Log, s Sizes, self batch.Runner, clock func() time.Time, z zerolog.Logger) *Batches {
-	b := &Batches{clock: clock, self: self, logger: z}
+	return &Batches{
+		stream: l, sizes: s, clock: clock, self: self, logger: z, shards: make([]followed, s.partitions),
+		settled: make(chan struct{}), changed: make(chan struct{}, 1),
+	}
+}
+
+// Loaded reports whether all partitions that this daemon follows are loaded.
+func (b *Batches) Loaded() bool {
+	select {
+	case <-b.settled:
+	default:
+		return false
+	}
 
-	for n := range s.partitions {
-		p := &partition{replica: &batch.Replica{}}
-		p.follower = keyed.New(l, Stream, n, p.replica, z)
-		p.writer = newWriter(l, n, p, s, z)
-		b.partitions = append(b.partitions, p)
+	for _, p := range b.copies() {
+		if !p.follower.Loaded() {
+			return false
+		}
 	}
 
-	return b
+	return true
+}
+
+// Partition returns the partition of a job.
+func (b *Batches) Partition(job string) int { return shard.Index(job, len(b.shards)) }
+
+// copy returns this daemon's copy of a partition; nil when it does not follow it.
+func (b *Batches) copy(n int) *partition {
+	h := &b.shards[n]
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return h.copy
 }
 
-// Actors returns the functions that are to run until their context ends.
-func (b *Batches) Actors() []func(ctx context.Context) error {
-	var l []func(ctx context.Context) error
-	for _, p := range b.partitions {
-		l = append(l, p.follower.Run, p.writer.run, p.writer.sweep)
+// copies returns this daemon's copies of partitions.
+func (b *Batches) copies() []*partition {
+	var l []*partition
+
+	for n := range b.shards {
+		if p := b.copy(n); p != nil {
+			l = append(l, p)
+		}
 	}
 
 	return l
 }
 
-// Loaded reports whether all partitions are loaded.
-func (b *Batches) Loaded() bool {
-	for _, p := range b.partitions {
-		if !p.follower.Loaded() {
-			return false
-		}
+// Follows reports whether this daemon follows the partition of a job.
+func (b *Batches) Follows(job string) bool { return b.copy(b.Partition(job)) != nil }
+
+// partition returns the loaded copy of a job's partition.
+func (b *Batches) partition(ctx context.Context, job string) (*partition, error) {
+	select {
+	case <-b.settled:
+	case <-ctx.Done():
+		return nil, notReady()
 	}
 
-	return true
+	p := b.copy(b.Partition(job))
+	if p == nil {
+		return nil, outcome.New(outcome.NotReady, outcome.NotRun, "this daemon does not follow the job's partition").
+			WithRetryAfter(time.Second)
+	}
+
+	return p, p.wait(ctx)
 }
 
-func (b *Batches) partition(job string) *partition {
-	return b.partitions[shard.Index(job, len(b.partitions))]
+func notReady() error {
+	return outcome.New(outcome.NotReady, outcome.NotRun, "the jobs are not loaded yet").WithRetryAfter(time.Second)
 }
 
 // wait waits until a partition is loaded.
@@ -91,15 +141,15 @@
 	case <-p.follower.Ready():
 		return nil
 	case <-ctx.Done():
-		return outcome.New(outcome.NotReady, outcome.NotRun, "the jobs are not loaded yet").WithRetryAfter(time.Second)
+		return notReady()
 	}
 }
 
 // Submit accepts a job. A job that was accepted before is accepted again without effect. An error with the effect
 // NotRun promises that no part of the job runs.
 func (b *Batches) Submit(ctx context.Context, s batch.Submission) error {
-	p := b.partition(s.ID())
-	if err := p.wait(ctx); err != nil {
+	p, err := b.partition(ctx, s.ID())
+	if err != nil {
 		return err
 	}
 
@@ -107,7 +157,7 @@
 		return nil
 	}
 
-	err := p.writer.submit(ctx, s.RunBy(b.self))
+	err = p.writer.submit(ctx, s.RunBy(b.self))
 	b.log("job_submitted", s.ID(), err)
 
 	return err
@@ -119,8 +169,8 @@
 
 // find returns the partition of a job that the replica knows, after reading up to the end of the log if it does not.
 func (b *Batches) find(ctx context.Context, id string) (*partition, error) {
-	p := b.partition(id)
-	if err := p.wait(ctx); err != nil {
+	p, err := b.partition(ctx, id)
+	if err != nil {
 		return nil, err
 	}
 
@@ -237,26 +287,49 @@
 
 // List lists the result of an item. It is not listed again when it is listed already.
 func (b *Batches) List(ctx context.Context, id string, v batch.Result) error {
-	return b.partition(id).writer.list(ctx, id, v)
+	p, err := b.partition(ctx, id)
+	if err != nil {
+		return err
+	}
+
+	return p.writer.list(ctx, id, v)
 }
 
 // Fail records the number of failed runs of an item.
 func (b *Batches) Fail(ctx context.Context, id, item string, runs int) error {
-	return b.partition(id).writer.fail(ctx, id, item, runs)
+	p, err := b.partition(ctx, id)
+	if err != nil {
+		return err
+	}
+
+	return p.writer.fail(ctx, id, item, runs)
 }
 
 // Save records events of an item that is running, so that another daemon can go on behind them.
 func (b *Batches) Save(ctx context.Context, id, item string, e batch.Events) error {
-	return b.partition(id).writer.save(ctx, id, item, e)
+	p, err := b.partition(ctx, id)
+	if err != nil {
+		return err
+	}
+
+	return p.writer.save(ctx, id, item, e)
 }
 
 // Saved returns the number of the last event of an item that the log has, and the run that it is of.
 func (b *Batches) Saved(id, item string) (last int, chain uint64) {
-	return b.partition(id).replica.Saved(id, item)
+	if p := b.copy(b.Partition(id)); p != nil {
+		return p.replica.Saved(id, item)
+	}
+
+	return 0, 0
 }
 
 // Listed reports whether an item can get no result any more.
-func (b *Batches) Listed(id, item string) bool { return b.partition(id).replica.Listed(id, item) }
+func (b *Batches) Listed(id, item string) bool {
+	p := b.copy(b.Partition(id))
+
+	return p != nil && p.replica.Listed(id, item)
+}
 
 func (b *Batches) log(event, id string, err error) {
 	e := b.logger.Info()
@@ -269,7 +342,7 @@
 
 // Count returns the number of jobs and of results.
 func (b *Batches) Count() (jobs, results int) {
-	for _, p := range b.partitions {
+	for _, p := range b.copies() {
 		j, r := p.replica.Count()
 		jobs, results = jobs+j, results+r
 	}
--- /dev/null
+++ b/batches/followers.go
@@ -0,0 +1,90 @@
+package batches
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/agategap/agategap/mesh"
+	"github.com/agategap/agategap/shard"
+)
+
+// followersEach is the number of daemons in each failure domain that follow a partition. A failure domain that is cut
+// off then still has one when two of its VMs are lost, and the copies do not grow with the number of daemons.
+const followersEach = 3
+
+// Sharers knows the daemons that share a duty.
+type Sharers interface {
+	Self() mesh.Peer
+	Share(duty string, each int, now time.Time) []mesh.Peer
+	Suspect(vm string) bool
+}
+
+// Followers decides which daemons follow a partition and run its jobs.
+type Followers struct {
+	peers Sharers
+}
+
+// NewFollowers returns the decision.
+func NewFollowers(p Sharers) Followers { return Followers{peers: p} }
+
+// Follows reports whether this daemon follows a partition.
+func (f Followers) Follows(partition int, now time.Time) bool {
+	self := f.peers.Self().VM
+
+	for _, p := range f.of(partition, now) {
+		if p.VM == self {
+			return true
+		}
+	}
+
+	return false
+}
+
+func (f Followers) of(partition int, now time.Time) []mesh.Peer {
+	return f.peers.Share(Stream+"/"+strconv.Itoa(partition), followersEach, now)
+}
+
+// Runners returns the daemons that may run a job of a partition that its own daemon no longer runs, the first choice
+// first. All daemons that know the same others choose the same one.
+func (f Followers) Runners(partition int, job string, now time.Time) []mesh.Peer {
+	return ranked(job, f.of(partition, now))
+}
+
+func ranked(key string, l []mesh.Peer) []mesh.Peer {
+	m := make(map[string]mesh.Peer, len(l))
+	n := make([]string, len(l))
+
+	for i, p := range l {
+		m[p.VM], n[i] = p, p.VM
+	}
+
+	r := make([]mesh.Peer, len(l))
+	for i, vm := range shard.Rank(key, n) {
+		r[i] = m[vm]
+	}
+
+	return r
+}
+
+// Nearest returns the daemons to take a call about a job to: those of this failure domain before the others, and those
+// that did not answer their last call at the end. Jobs are spread over the daemons of a failure domain.
+func (f Followers) Nearest(partition int, job string, now time.Time) []mesh.Peer {
+	var near, far, last []mesh.Peer
+
+	self := f.peers.Self()
+	l := f.of(partition, now)
+
+	for _, p := range ranked(job, l) {
+		switch {
+		case p.VM == self.VM:
+		case f.peers.Suspect(p.VM):
+			last = append(last, p)
+		case p.Domain == self.Domain:
+			near = append(near, p)
+		default:
+			far = append(far, p)
+		}
+	}
+
+	return append(append(near, far...), last...)
+}
--- a/batches/handover.go
+++ b/batches/handover.go
@@ -49,7 +49,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	if r.leaving {
+	c := r.batches.copy(r.batches.Partition(q.Job))
+	if r.leaving || c == nil || !c.follower.Loaded() {
 		return nil
 	}
 
@@ -59,7 +60,7 @@
 			continue
 		}
 
-		v, ok := r.batches.partition(q.Job).replica.Job(q.Job)
+		v, ok := c.replica.Job(q.Job)
 		if !ok {
 			break
 		}
@@ -114,7 +115,7 @@
 
 	var l []batch.View
 
-	for _, p := range r.batches.partitions {
+	for _, p := range r.batches.copies() {
 		for _, v := range p.replica.Open() {
 			r.mu.Lock()
 			adopted := r.adopted[v.ID()]
@@ -149,7 +150,7 @@
 
 	self := r.peers.Self()
 
-	for _, p := range r.peers.Ranked(v.ID(), r.clock()) {
+	for _, p := range r.peers.Runners(r.batches.Partition(v.ID()), v.ID(), r.clock()) {
 		if p.VM == self.VM {
 			continue
 		}
--- a/batches/property_test.go
+++ b/batches/property_test.go
@@ -58,9 +58,7 @@
 		Batches: batches.New(l, sizes, batch.NewRunner(fmt.Sprint("vm", n), 1), time.Now, zerolog.Nop()), stop: stop,
 	}
 
-	for _, f := range d.Actors() {
-		d.wg.Go(func() { _ = f(ctx) })
-	}
+	d.wg.Go(func() { _ = batches.NewAssigner(d.Batches, nil, nil, zerolog.Nop()).Run(ctx) })
 
 	return d
 }
--- a/batches/runner.go
+++ b/batches/runner.go
@@ -18,7 +18,7 @@
 // Peers decides which daemon runs a job.
 type Peers interface {
 	Self() mesh.Peer
-	Ranked(duty string, now time.Time) []mesh.Peer
+	Runners(partition int, job string, now time.Time) []mesh.Peer
 	Alive(vm string, start int64, now time.Time) bool
 }
 
@@ -35,6 +35,8 @@
 const (
 	// runnerTick is the time between two passes over the jobs, beside those that a change causes.
 	runnerTick = 100 * time.Millisecond
+	// runnerPause is the least time between two passes. Partitions change many times a second.
+	runnerPause = 10 * time.Millisecond
 	// mostRunning bounds the items that one daemon runs or has waiting for a slot. The owner of the slots orders them.
 	mostRunning = 48
 	// againFirst and againMost bound the delay before an item runs again after its target failed.
@@ -86,19 +88,19 @@
 	r.life = x
 	r.mu.Unlock()
 
-	changed := make(chan struct{}, 1)
-	for _, p := range r.batches.partitions {
-		r.wg.Go(func() { signal(x, p.replica, changed) })
-	}
-
 	r.wg.Go(func() { r.save(x) })
 
 	for x.Err() == nil {
 		r.pass(x)
 
 		select {
-		case <-changed:
-		case <-time.After(runnerTick):
+		case <-time.After(runnerPause):
+		case <-x.Done():
+		}
+
+		select {
+		case <-r.batches.changed:
+		case <-time.After(runnerTick - runnerPause):
 		case <-x.Done():
 		}
 	}
@@ -106,19 +108,32 @@
 	return nil
 }
 
-// signal passes on that a replica changed.
-func signal(ctx context.Context, p *batch.Replica, changed chan<- struct{}) {
-	for {
-		select {
-		case <-p.Changed():
-			select {
-			case changed <- struct{}{}:
-			default:
-			}
-		case <-ctx.Done():
-			return
+// Uses reports whether this daemon runs jobs of a partition.
+func (r *Runner) Uses(partition int) bool {
+	r.mu.Lock()
+	for _, u := range r.running {
+		if u.active && r.batches.Partition(u.job) == partition {
+			r.mu.Unlock()
+
+			return true
 		}
 	}
+	r.mu.Unlock()
+
+	p := r.batches.copy(partition)
+	if p == nil {
+		return false
+	}
+
+	now := r.clock()
+
+	for _, v := range p.replica.Open() {
+		if r.mine(p, v, now) {
+			return true
+		}
+	}
+
+	return false
 }
 
 // pass starts the items that are due to run here, and stops those that are not.
@@ -132,22 +147,22 @@
 
 	r.stopListed()
 
-	for _, p := range r.batches.partitions {
+	for _, p := range r.batches.copies() {
 		if !p.follower.Loaded() {
 			continue
 		}
 
 		for _, v := range p.replica.Open() {
-			if r.mine(v, now) {
+			if r.mine(p, v, now) {
 				r.start(ctx, t, v, now)
 			}
 		}
 	}
 }
 
-// mine reports whether this daemon runs a job: the one that accepted it while it is live, and then the first choice
-// among the others.
-func (r *Runner) mine(v batch.View, now time.Time) bool {
+// mine reports whether this daemon runs a job of a partition: the one that accepted it while it is live, and then the
+// first choice among those that follow the partition.
+func (r *Runner) mine(p *partition, v batch.View, now time.Time) bool {
 	self := r.peers.Self()
 
 	r.mu.Lock()
@@ -162,7 +177,9 @@
 	case r.peers.Alive(w.VM(), w.Start(), now):
 		return false
 	default:
-		return r.peers.Ranked(v.ID(), now)[0].VM == self.VM
+		l := r.peers.Runners(p.number, v.ID(), now)
+
+		return len(l) > 0 && l[0].VM == self.VM
 	}
 }
 
--- a/batches/runner_test.go
+++ b/batches/runner_test.go
@@ -21,9 +21,9 @@
 // alone is a daemon that knows another one, which is live or not.
 type alone struct{ other bool }
 
-func (a alone) Self() mesh.Peer                           { return mesh.Peer{VM: "self", Start: 1} }
-func (a alone) Ranked(string, time.Time) []mesh.Peer      { return []mesh.Peer{a.Self()} }
-func (a alone) Alive(_ string, _ int64, _ time.Time) bool { return a.other }
+func (a alone) Self() mesh.Peer                            { return mesh.Peer{VM: "self", Start: 1} }
+func (a alone) Runners(int, string, time.Time) []mesh.Peer { return []mesh.Peer{a.Self()} }
+func (a alone) Alive(_ string, _ int64, _ time.Time) bool  { return a.other }
 
 type noCalls struct{}
 
--- /dev/null
+++ b/batches/service.go
@@ -0,0 +1,66 @@
+package batches
+
+import (
+	"context"
+	"time"
+)
+
+// Service serves the calls that other daemons take here. It never passes them on again.
+type Service struct {
+	batches *Batches
+	within  time.Duration
+}
+
+// serveWithin bounds a call of another daemon beyond the wait of a read. The other daemon has given up by then.
+const serveWithin = remoteWithin - 100*time.Millisecond
+
+// NewService returns the service.
+func NewService(b *Batches) *Service { return &Service{batches: b, within: serveWithin} }
+
+// Submit accepts a job.
+func (s *Service) Submit(q SubmitMessage, a *ErrorMessage) error {
+	ctx, stop := context.WithTimeout(context.Background(), s.within)
+	defer stop()
+
+	*a = errorMessage(s.batches.Submit(ctx, q.submission()))
+
+	return nil
+}
+
+// Results returns results of a job.
+func (s *Service) Results(q ReadMessage, a *PageMessage) error {
+	wait := time.Duration(q.WaitMS) * time.Millisecond
+
+	ctx, stop := context.WithTimeout(context.Background(), wait+s.within)
+	defer stop()
+
+	p, err := s.batches.Results(ctx, q.Job, q.After, q.Most, wait)
+	a.Total, a.Next, a.Error = p.Total(), p.Next(), errorMessage(err)
+
+	for _, v := range p.Results() {
+		a.Results = append(a.Results, ResultMessage{Item: v.Item(), Text: v.Text(), Done: v.Done()})
+	}
+
+	return nil
+}
+
+// Body returns the body of an item.
+func (s *Service) Body(q ItemMessage, a *BodyMessage) error {
+	ctx, stop := context.WithTimeout(context.Background(), s.within)
+	defer stop()
+
+	b, err := s.batches.Body(ctx, q.Job, q.Item)
+	a.Body, a.Error = b, errorMessage(err)
+
+	return nil
+}
+
+// End ends a job.
+func (s *Service) End(q ItemMessage, a *ErrorMessage) error {
+	ctx, stop := context.WithTimeout(context.Background(), s.within)
+	defer stop()
+
+	*a = errorMessage(s.batches.End(ctx, q.Job))
+
+	return nil
+}
--- a/batches/writer.go
+++ b/batches/writer.go
@@ -45,10 +45,11 @@
 	sizes     Sizes
 	logger    zerolog.Logger
 	queue     chan *change
+	ended     chan struct{} // closed when no change is taken any more
 }
 
 func newWriter(l keyed.Log, number int, p *partition, s Sizes, z zerolog.Logger) *writer {
-	return &writer{log: l, number: number, partition: p, sizes: s, logger: z, queue: make(chan *change, mostQueued)}
+	return &writer{log: l, number: number, partition: p, sizes: s, logger: z, queue: make(chan *change, mostQueued), ended: make(chan struct{})}
 }
 
 // submit appends a job. Items that do not fit into one append go before it, where they change nothing.
@@ -132,11 +133,25 @@
 		return outcome.New(outcome.Overloaded, outcome.NotRun, "too many changes wait for the log").WithRetryAfter(time.Second)
 	}
 
-	return <-c.done
+	select {
+	case err := <-c.done:
+		return err
+	case <-w.ended:
+	}
+
+	// A change that was queued while the writer ended is not seen by it.
+	select {
+	case err := <-c.done:
+		return err
+	default:
+		return outcome.New(outcome.LogUnavailable, outcome.Unknown, "the writer of the partition ended")
+	}
 }
 
 // run appends until ctx ends.
 func (w *writer) run(ctx context.Context) error {
+	defer close(w.ended)
+
 	var group []*change
 
 	pause := time.Duration(0)
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -58,6 +58,9 @@
 // callers of the known deployments keep them.
 const idleCallers = 2 * time.Minute
 
+// milli is the number of thousandths in one.
+const milli = 1000
+
 // stopMargin is kept free at the end of the shutdown, as the platform kills the process when its time is over.
 const stopMargin = 500 * time.Millisecond
 
@@ -90,6 +93,7 @@
 
 	self := mesh.Peer{
 		VM: d.settings.VM, Address: d.PeerAddress(), Domain: d.settings.FailureDomain, Start: time.Now().UnixMilli(),
+		Power: int(d.settings.Processor * milli),
 	}
 	table := mesh.New(self)
 	d.mesh = mesh.NewMesh(table, d.client, d.settings.Peers, d.logger)
@@ -104,12 +108,15 @@
 	l := d.settings.Store
 	sizes := batches.NewSizes(l.Partitions, l.RecordBytes, l.CallBytes, l.KeepResults.Value())
 	d.batches = batches.New(d.log, sizes, batch.NewRunner(self.VM, self.Start), time.Now, d.logger)
-	d.runner = batches.NewRunner(d.batches, filter.ItemChain(holder, time.Now, w, workers), &d.routes, table, d.client, time.Now, d.logger)
+	followers := batches.NewFollowers(table)
+	d.runner = batches.NewRunner(
+		d.batches, filter.ItemChain(holder, time.Now, w, workers), &d.routes, jobPeers{Table: table, Followers: followers}, d.client, time.Now, d.logger)
+	gateway := batches.NewGateway(d.batches, followers, table, caller{client: d.client}, d.logger)
 
-	front := platform.NewFront(filter.RoutedChain(&d.routes, holder, time.Now, w, workers), &d.routes, d.batches, time.Now)
+	front := platform.NewFront(filter.RoutedChain(&d.routes, holder, time.Now, w, workers), &d.routes, gateway, time.Now)
 
 	for n, v := range map[string]any{
-		"Mesh": d.mesh, "Log": keyed.NewService(store), "Slot": d.owner, "Holder": holder, "Batch": d.runner,
+		"Mesh": d.mesh, "Log": keyed.NewService(store), "Slot": d.owner, "Holder": holder, "Batch": d.runner, "Jobs": batches.NewService(d.batches),
 	} {
 		if err := d.server.Register(n, v); err != nil {
 			d.logger.Error().Err(err).Str("service", n).Msg("a service for other daemons cannot be registered")
@@ -122,15 +129,48 @@
 	d.group.Add(func() error { return d.server.Serve(d.listeners[2]) }, func(error) { d.server.Close(); d.client.Close() })
 
 	actor(&d.group, d.follow(platform.TopicOperator, &routeSink{routed: d}).Run)
-	actor(&d.group, d.follow(platform.TopicWorkers, &targetSink{routed: d}).WithHealth(&d.targets).Run)
-	actor(&d.group, d.follow(memberStream, &memberSink{table: table, logger: d.logger}).Run)
+	actor(&d.group, d.follow(platform.TopicWorkers, &targetSink{routed: d}).WithHealth(&d.targets).WithPause(d.entriesPause).Run)
+	members := d.follow(memberStream, &memberSink{table: table, logger: d.logger})
+	actor(&d.group, members.Run)
+
+	assigner := batches.NewAssigner(d.batches, followers, d.runner, d.logger)
+	actor(&d.group, func(ctx context.Context) error {
+		select {
+		case <-members.Ready(): // the shares depend on the other daemons
+		case <-ctx.Done():
+		}
+
+		return assigner.Run(ctx)
+	})
 	actor(&d.group, func(ctx context.Context) error { return announce(ctx, d.log, self, d.logger) })
 
-	for _, f := range append(d.batches.Actors(), d.mesh.Run, d.owner.Run, holder.Run, workers.Run, d.reload, func(ctx context.Context) error { return d.bounds.Run(ctx, d.logger) }) {
+	for _, f := range []func(context.Context) error{
+		d.mesh.Run, d.owner.Run, holder.Run, workers.Run, d.reload, func(ctx context.Context) error { return d.bounds.Run(ctx, d.logger) },
+	} {
 		actor(&d.group, f)
 	}
 }
 
+const (
+	// entriesPerPeer lengthens the time between two reads of the entries of targets with the number of daemons, so that
+	// all together make at most 250 reads a second of the few thousand that a store takes.
+	entriesPerPeer = 4 * time.Millisecond
+	// entriesMost bounds that time. Targets that leave serve for at least two seconds more.
+	entriesMost = 500 * time.Millisecond
+)
+
+// entriesPause returns the time between two reads of the entries of targets. Every target writes its own about once a
+// second, so that each read would end at once.
+func (d *Routed) entriesPause() time.Duration {
+	return min(entriesMost, time.Duration(len(d.mesh.Table().Live(time.Now())))*entriesPerPeer)
+}
+
+// jobPeers knows the daemons and which of them run a job.
+type jobPeers struct {
+	*mesh.Table
+	batches.Followers
+}
+
 func (d *Routed) follow(name string, s keyed.Sink) *keyed.Follower {
 	f := keyed.New(d.log, name, 0, s, d.logger)
 	d.loaded = append(d.loaded, f)
--- a/daemon/sinks.go
+++ b/daemon/sinks.go
@@ -96,7 +96,10 @@
 		return
 	}
 
-	s.routed.targets.Put(t, k.Offset())
+	if !s.routed.targets.Put(t, k.Offset()) {
+		return
+	}
+
 	s.routed.logger.Info().Str("event", "target").Str("target", t.Name()).Str("address", t.Address()).Bool("leaving", t.Leaving()).
 		Int64("offset", k.Offset()).Msg("the entry of a target changed")
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,10 +20,10 @@
 
 // Target is a target as its entry describes it.
 type Target struct {
-	name, address, domain, service, release string
-	slots                                   int
-	started                                 int64
-	leaving                                 bool
+	name, address, domain, service string
+	slots                          int
+	started                        int64
+	leaving                        bool
 }
 
 // NewTarget returns a target that serves at an IP number with a port and runs slots requests at a time.
@@ -31,13 +31,6 @@
 	return Target{name: name, address: address, domain: domain, service: service, slots: slots}
 }
 
-// WithRelease returns a copy with the version of the target's software.
-func (t Target) WithRelease(v string) Target {
-	t.release = v
-
-	return t
-}
-
 // WithStart returns a copy with the time of the target's start, in Unix milliseconds. Another start under the same
 // name is another incarnation.
 func (t Target) WithStart(ms int64) Target {
@@ -78,11 +71,10 @@
 type Registry struct {
 	shards [registryShards]registryShard
 
-	mu      sync.Mutex
-	known   bool
-	changed chan struct{}
-	outage  time.Time // when the log was last known to be unavailable
-	down    bool
+	mu     sync.Mutex
+	known  bool
+	outage time.Time // when the log was last known to be unavailable
+	down   bool
 }
 
 type registryShard struct {
@@ -101,33 +93,14 @@
 	return &r.shards[shard.Index(name, registryShards)]
 }
 
-// Changed returns a channel that is closed at the next change.
-func (r *Registry) Changed() <-chan struct{} {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-
-	if r.changed == nil {
-		r.changed = make(chan struct{})
-	}
-
-	return r.changed
-}
-
-func (r *Registry) notify() {
+// Read records that all entries were read once, even if there are none.
+func (r *Registry) Read() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
 	r.known = true
-
-	if r.changed != nil {
-		close(r.changed)
-		r.changed = nil
-	}
 }
 
-// Read records that all entries were read once, even if there are none.
-func (r *Registry) Read() { r.notify() }
-
 // Known reports whether the entries were read at least once.
 func (r *Registry) Known() bool {
 	r.mu.Lock()
@@ -157,26 +130,26 @@
 	return r.down || !r.outage.IsZero() && now.Sub(r.outage) < lapseHold
 }
 
-// Put records the entry of a target at an offset of the log. Older entries are ignored.
-func (r *Registry) Put(t Target, offset int64) {
+// Put records the entry of a target at an offset of the log. Older entries are ignored. It reports whether something
+// about the target changed.
+func (r *Registry) Put(t Target, offset int64) bool {
 	h := r.shard(t.name)
 
 	h.mu.Lock()
-	e, ok := h.entries[t.name]
-	newer := !ok || offset > e.offset
+	defer h.mu.Unlock()
 
-	if newer {
-		if h.entries == nil {
-			h.entries = map[string]entry{}
-		}
-
-		h.entries[t.name] = entry{target: t, offset: offset}
+	e, ok := h.entries[t.name]
+	if ok && offset <= e.offset {
+		return false
 	}
-	h.mu.Unlock()
 
-	if newer {
-		r.notify()
+	if h.entries == nil {
+		h.entries = map[string]entry{}
 	}
+
+	h.entries[t.name] = entry{target: t, offset: offset}
+
+	return !ok || e.target != t || !e.lapsed.IsZero()
 }
 
 // Remove records that the entry of a target is gone.
@@ -185,6 +158,8 @@
 	h := r.shard(name)
 
 	h.mu.Lock()
+	defer h.mu.Unlock()
+
 	if e, ok := h.entries[name]; ok && offset > e.offset {
 		if lapsed && !e.target.leaving {
 			e.lapsed, e.offset = now, offset
@@ -193,9 +168,6 @@
 			delete(h.entries, name)
 		}
 	}
-	h.mu.Unlock()
-
-	r.notify()
 }
 
 // Names returns the names of all entries, also of those that have lapsed.
--- a/keyed/follower.go
+++ b/keyed/follower.go
@@ -51,6 +51,7 @@
 	part   int
 	sink   Sink
 	health Health
+	pause  func() time.Duration
 	logger zerolog.Logger
 	syncs  singleflight.Group
 
@@ -74,6 +75,14 @@
 	return f
 }
 
+// WithPause has the follower wait after each read, so that a stream with many writers costs few
+// reads. It is to be called before Run.
+func (f *Follower) WithPause(pause func() time.Duration) *Follower {
+	f.pause = pause
+
+	return f
+}
+
 // Ready returns a channel that is closed once the partition is loaded.
 func (f *Follower) Ready() <-chan struct{} { return f.ready }
 
@@ -109,18 +118,26 @@
 		err := f.step(ctx, tailWait)
 		f.note(err)
 
+		wait := delay
+
 		if err == nil {
-			delay = retryFirst
+			delay, wait = retryFirst, 0
 
+			if f.pause != nil {
+				wait = f.pause()
+			}
+		} else {
+			delay = min(retryMost, 2*delay) //nolint:mnd // exponential
+		}
+
+		if wait == 0 {
 			continue
 		}
 
 		select {
-		case <-time.After(delay):
+		case <-time.After(wait):
 		case <-ctx.Done():
 		}
-
-		delay = min(retryMost, 2*delay) //nolint:mnd // exponential
 	}
 
 	return nil
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -38,6 +38,7 @@
 	VM      string `msgpack:"vm"`
 	Address string `msgpack:"address"` // IP number and port for other daemons
 	Domain  string `msgpack:"domain"`  // failure domain
+	Power   int    `msgpack:"power"`   // processor time of the VM, in thousandths of a core
 	Start   int64  `msgpack:"start"`   // start of the process, Unix milliseconds; tells incarnations apart
 	Leaving bool   `msgpack:"leaving"` // the daemon is shutting down
 }
@@ -243,23 +244,26 @@
 	switch {
 	case ok && s.peer.Start != start:
 		return s.peer.Start < start // its record is not read yet
-	case ok && now.Sub(s.heard) <= max(goneAfter, silentAfter*Interval(n)):
-		return true
-	case !settled:
-		return true
+	case ok:
+		return s.lasting(n, settled, now)
 	default:
-		return ok && s.heard.IsZero() && now.Sub(s.added) <= settleAfter
+		return !settled
 	}
 }
 
-// Ranked returns the daemons that may do a duty, the first choice first. This daemon is among them unless it is
-// leaving and another one is live.
+// Ranked returns the daemons that may do a duty, the first choice first: those with the most processor time, and among
+// equals by a rendezvous hash. A small VM may need all of its time for the requests of its own callers. This daemon is
+// among them unless it is leaving and another one is live.
 func (t *Table) Ranked(duty string, now time.Time) []Peer {
 	l := t.Live(now)
 	if v := t.Self(); !v.Leaving || len(l) == 0 {
 		l = append(l, v)
 	}
 
+	return rank(duty, l)
+}
+
+func rank(duty string, l []Peer) []Peer {
 	m := make(map[string]Peer, len(l))
 	n := make([]string, len(l))
 
@@ -271,6 +275,8 @@
 		l[i] = m[vm]
 	}
 
+	slices.SortStableFunc(l, func(a, b Peer) int { return cmp.Compare(b.Power, a.Power) })
+
 	return l
 }
 
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-func compare(a, b Demand) int {
+func compare(a, b *Demand) int {
 	return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.rank, b.rank), a.due.Compare(b.due), cmp.Compare(a.id, b.id))
 }
 
@@ -39,44 +39,79 @@
 func (p *Pool) decide(now time.Time) Actions {
 	var a Actions
 
-	rest := p.waiting[:0]
-	starved := 0
+	if free := p.free(now); free > 0 {
+		a.grants = p.grant(free, now)
+	}
+
+	if n := p.online(); n > 0 {
+		a.yields = p.yield(n, now)
+	}
+
+	return a
+}
+
+// free returns the slots of the targets that may get new work.
+func (p *Pool) free(now time.Time) int {
+	n := 0
+
+	for _, v := range p.targets {
+		if !v.until.After(now) {
+			n += max(0, v.target.slots-v.used)
+		}
+	}
+
+	return n
+}
+
+// grant gives free slots to the demands that wait. It ends with the last slot, as a backlog of batch items can be
+// thousands of demands long.
+func (p *Pool) grant(free int, now time.Time) []Lease {
+	var l []Lease
+
+	granted := map[string]bool{}
 
 	for _, d := range p.order(now) {
+		if free == 0 || d.class == Batch && p.paused(now) {
+			break
+		}
+
 		v := p.choose(d, now)
 		if v == nil {
-			rest = append(rest, d)
-
-			if d.class == Online {
-				starved++
-			}
-
 			continue
 		}
 
 		e := Lease{id: d.id, holder: d.holder, target: v.target.name, class: d.class, due: d.due, needs: d.needs, since: now}
 		p.add(e)
-		a.grants = append(a.grants, e)
+
+		l = append(l, e)
+		granted[d.id] = true
+		free--
 
 		if v.suspect() {
 			v.hold(now.Add(suspectPause))
 		}
 	}
 
-	clear(p.waiting[len(rest):])
-	p.waiting = rest
-	slices.SortFunc(p.waiting, compare)
-
-	if starved > 0 {
-		a.yields = p.yield(starved, now)
+	if len(l) > 0 {
+		p.waiting = slices.DeleteFunc(p.waiting, func(d *Demand) bool { return granted[d.id] })
 	}
 
-	return a
+	return l
 }
 
+// online returns the number of online demands that wait. They stand before the batch ones.
+func (p *Pool) online() int {
+	n, _ := slices.BinarySearchFunc(p.waiting, Batch, func(d *Demand, c Class) int { return cmp.Compare(d.class, c) })
+
+	return n
+}
+
+// paused reports whether batch work gets no slots, as some were asked back a moment ago.
+func (p *Pool) paused(now time.Time) bool { return now.Sub(p.pressed) < batchPause }
+
 // order returns the demands that wait in the order in which they are served.
-func (p *Pool) order(now time.Time) []Demand {
-	l := make([]Demand, 0, len(p.waiting))
+func (p *Pool) order(now time.Time) []*Demand {
+	l := make([]*Demand, 0, len(p.waiting))
 
 	for _, late := range []bool{false, true} {
 		for _, d := range p.waiting {
@@ -91,10 +126,10 @@
 
 // choose returns the target for a demand: a preferred one, then one of its own failure domain, then the one with the
 // smallest share of its slots in use. A suspect target is tried only when no other one is free.
-func (p *Pool) choose(d Demand, now time.Time) *place {
+func (p *Pool) choose(d *Demand, now time.Time) *place {
 	var best *place
 
-	if d.class == Batch && now.Sub(p.pressed) < batchPause {
+	if d.class == Batch && p.paused(now) {
 		return nil
 	}
 
@@ -111,7 +146,7 @@
 	return best
 }
 
-func (v *place) before(o *place, d Demand) bool {
+func (v *place) before(o *place, d *Demand) bool {
 	if a, b := v.target.name == d.prefer, o.target.name == d.prefer; a != b {
 		return a
 	}
--- a/pool/demand.go
+++ b/pool/demand.go
@@ -54,7 +54,7 @@
 }
 
 // late reports whether a batch item cannot be done by its due time any more.
-func (d Demand) late(now time.Time) bool { return d.class == Batch && now.Add(d.needs).After(d.due) }
+func (d *Demand) late(now time.Time) bool { return d.class == Batch && now.Add(d.needs).After(d.due) }
 
 // Preferring returns a copy that goes to a target when it has a free slot.
 func (d Demand) Preferring(name string) Demand {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -84,7 +84,7 @@
 	leases   map[string]*Lease
 	holders  map[string]time.Time
 	released map[string]time.Time
-	waiting  []Demand
+	waiting  []*Demand     // in the order of compare
 	duration time.Duration // mean time that online leases are held
 	pressed  time.Time     // when batch leases were last asked back
 }
@@ -133,21 +133,21 @@
 		return Actions{grants: []Lease{*e}}
 	}
 
-	p.waiting = slices.DeleteFunc(p.waiting, func(w Demand) bool { return w.id == d.id })
+	p.waiting = slices.DeleteFunc(p.waiting, func(w *Demand) bool { return w.id == d.id })
 
-	if d.patience > 0 && p.expect(d, now) > d.patience {
+	if d.patience > 0 && p.expect(&d, now) > d.patience {
 		return Actions{refused: true}
 	}
 
-	i, _ := slices.BinarySearchFunc(p.waiting, d, compare)
-	p.waiting = slices.Insert(p.waiting, i, d)
+	i, _ := slices.BinarySearchFunc(p.waiting, &d, compare)
+	p.waiting = slices.Insert(p.waiting, i, &d)
 
 	return p.decide(now)
 }
 
 // expect returns how long an online demand is expected to wait: not at all when a slot is free or can be given back,
 // and else until enough of the online leases before it have ended.
-func (p *Pool) expect(d Demand, now time.Time) time.Duration {
+func (p *Pool) expect(d *Demand, now time.Time) time.Duration {
 	if p.choose(d, now) != nil {
 		return 0
 	}
@@ -189,7 +189,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	p.waiting = slices.DeleteFunc(p.waiting, func(d Demand) bool { return d.id == id })
+	p.waiting = slices.DeleteFunc(p.waiting, func(d *Demand) bool { return d.id == id })
 }
 
 // Release gives a slot back and says what its request showed of the target.
--- a/settings/default.go
+++ b/settings/default.go
@@ -3,6 +3,9 @@
 import "time"
 
 const (
+	// defaultProcessor makes daemons whose settings do not tell equal.
+	defaultProcessor = 1
+	mostProcessor    = 4096
 	// defaultDrainWait is longer than the balancer's usual health check interval.
 	defaultDrainWait = 3 * time.Second
 	defaultDrainMost = 30 * time.Second
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -15,6 +15,7 @@
 	VM              string   `toml:"vm"`               // name of the VM, unique
 	FailureDomain   string   `toml:"failure_domain"`   // failure domain of the VM
 	Region          string   `toml:"region"`           // region of the failure domain
+	Processor       float64  `toml:"processor"`        // processor time of the VM, in cores
 	CallerAddress   string   `toml:"caller_address"`   // listener for callers, IP:port
 	OperatorAddress string   `toml:"operator_address"` // listener for operators, IP:port
 	PeerAddress     string   `toml:"peer_address"`     // listener for other daemons, IP:port
@@ -89,6 +90,10 @@
 		d.Interface = InterfaceOpenAI
 	}
 
+	if !x.Has("processor") {
+		d.Processor = defaultProcessor
+	}
+
 	d.Store.setDefaults(x)
 
 	for _, v := range []struct {
@@ -113,6 +118,10 @@
 	required(x, l, "vm", d.VM)
 	required(x, l, "failure_domain", d.FailureDomain)
 
+	if d.Processor <= 0 || d.Processor > mostProcessor {
+		x.Addf(l, "processor", "%g cores are not between 0 and %d", d.Processor, mostProcessor)
+	}
+
 	seen := map[string]string{}
 	for _, a := range []struct{ key, value string }{
 		{"caller_address", d.CallerAddress},
--- a/slots/holder.go
+++ b/slots/holder.go
@@ -20,14 +20,20 @@
 	holderShards = 16
 	// askWithin is the time for the owner's answer to a demand, which is given at once. A slower owner is replaced.
 	askWithin = 100 * time.Millisecond
-	// reportEvery is the time between two reports of what a daemon holds.
-	reportEvery = 100 * time.Millisecond
+	// reportLeast is the time between two reports of what a daemon holds, while there are few daemons. reportPerPeer
+	// lengthens it with their number, so that an owner takes at most 200 reports a second; reportMost keeps it well below
+	// the silence after which a holder's leases are released.
+	reportLeast   = 100 * time.Millisecond
+	reportPerPeer = 5 * time.Millisecond
+	reportMost    = 800 * time.Millisecond
 	// reportWithin bounds a report.
 	reportWithin = 250 * time.Millisecond
 	// reportTo is the number of candidates that get reports, so that the next owner knows what is in use.
 	reportTo = 2
 	// askAgain is the time after which a demand that waits is repeated, in case its grant was lost or the owner changed.
 	askAgain = 400 * time.Millisecond
+	// askAgainBatch is the same for batch items, which may wait in thousands.
+	askAgainBatch = 2 * time.Second
 	// mostAsks bounds the daemons that one demand is taken to in a row.
 	mostAsks = 4
 	// batchWait bounds the wait of a batch item for a slot; after it the item asks again.
@@ -37,6 +43,7 @@
 // Peers knows the other daemons.
 type Peers interface {
 	Self() mesh.Peer
+	Live(now time.Time) []mesh.Peer
 	Ranked(duty string, now time.Time) []mesh.Peer
 	Failed(vm string)
 }
@@ -161,6 +168,11 @@
 	k.waiting[q.ID] = c
 	k.mu.Unlock()
 
+	again := askAgain
+	if q.Batch {
+		again = askAgainBatch
+	}
+
 	for {
 		q.DueMS = time.Until(due).Milliseconds()
 		owner, a := h.ask(ctx, q)
@@ -175,7 +187,7 @@
 		if target == "" {
 			select {
 			case target = <-c:
-			case <-time.After(askAgain):
+			case <-time.After(again):
 			case <-ctx.Done():
 			}
 		}
@@ -346,12 +358,11 @@
 
 // Run reports what this daemon holds until ctx ends.
 func (h *Holder) Run(ctx context.Context) error {
-	t := time.NewTicker(reportEvery)
-	defer t.Stop()
-
 	for {
+		n := len(h.peers.Live(time.Now()))
+
 		select {
-		case <-t.C:
+		case <-time.After(min(reportMost, max(reportLeast, time.Duration(n)*reportPerPeer))):
 		case <-ctx.Done():
 			return nil
 		}
