--- /dev/null
+++ b/batches/gateway_test.go
@@ -0,0 +1,238 @@
+package batches_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agategap/agategap/batch"
+	"github.com/agategap/agategap/batches"
+	"github.com/agategap/agategap/mesh"
+	"github.com/agategap/agategap/outcome"
+)
+
+// nearby names the daemons to ask, and counts those that failed.
+type nearby struct {
+	mu     sync.Mutex
+	vms    []string
+	failed []string
+}
+
+func (n *nearby) Nearest(int, string, time.Time) []mesh.Peer {
+	var l []mesh.Peer
+	for _, v := range n.vms {
+		l = append(l, mesh.Peer{VM: v, Address: v})
+	}
+
+	return l
+}
+
+func (n *nearby) Failed(vm string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.failed = append(n.failed, vm)
+}
+
+// network takes calls to services by address. A call to any other address fails, as not sent or without an answer.
+type network struct {
+	services map[string]*batches.Service
+	lost     map[string]bool // the call arrives, its answer does not
+}
+
+func (n *network) Call(_ context.Context, address, method string, q, a any) error {
+	s, ok := n.services[address]
+	if !ok {
+		return outcome.New(outcome.LogUnavailable, outcome.NotRun, "not sent")
+	}
+
+	var err error
+
+	switch method {
+	case "Jobs.Submit":
+		err = s.Submit(q.(batches.SubmitMessage), a.(*batches.ErrorMessage))
+	case "Jobs.Results":
+		err = s.Results(q.(batches.ReadMessage), a.(*batches.PageMessage))
+	case "Jobs.Body":
+		err = s.Body(q.(batches.ItemMessage), a.(*batches.BodyMessage))
+	case "Jobs.End":
+		err = s.End(q.(batches.ItemMessage), a.(*batches.ErrorMessage))
+	default:
+		err = errors.New("no such method")
+	}
+
+	if n.lost[address] {
+		return outcome.New(outcome.LogUnavailable, outcome.Unknown, "no answer")
+	}
+
+	return err
+}
+
+// nothing follows no partition.
+type nothing struct{}
+
+func (nothing) Follows(int, time.Time) bool { return false }
+func (nothing) Uses(int) bool               { return false }
+
+// bystander returns the controller of a daemon that follows nothing.
+func bystander(l *memory) (*batches.Batches, func()) {
+	ctx, stop := context.WithCancel(context.Background())
+	b := batches.New(l, sizes, batch.NewRunner("by", 1), time.Now, zerolog.Nop())
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+
+		_ = batches.NewAssigner(b, nothing{}, nothing{}, zerolog.Nop()).Run(ctx)
+	}()
+
+	return b, func() { stop(); <-done }
+}
+
+// Guards against calls that a daemon answers wrongly as it does not follow the partition: 404 for a job that exists, and a
+// refusal that promises that a job does not run although a daemon that was asked may have accepted it.
+func TestGateway(t *testing.T) {
+	l := newMemory()
+	a := start(l, 0)
+
+	defer a.end()
+
+	b, end := bystander(l)
+	defer end()
+
+	ctx, stop := background()
+	defer stop()
+
+	n := &nearby{}
+	w := &network{services: map[string]*batches.Service{"a": batches.NewService(a.Batches), "b": batches.NewService(b)}, lost: map[string]bool{}}
+	g := batches.NewGateway(b, n, n, w, zerolog.Nop())
+
+	Convey("Calls pass over daemons that are gone or do not follow the partition", t, func() {
+		n.vms = []string{"gone", "b", "a"}
+		So(g.Submit(ctx, job("j", 2)), ShouldBeNil)
+		So(n.failed, ShouldContain, "gone")
+		So(n.failed, ShouldNotContain, "b")
+
+		v, err := g.Body(ctx, "j", "j-1")
+		So(err, ShouldBeNil)
+		So(string(v), ShouldEqual, "j")
+
+		So(a.List(ctx, "j", batch.NewResult("j-0", "text", true)), ShouldBeNil)
+
+		p, err := g.Results(ctx, "j", 0, mostBytes, time.Second)
+		So(err, ShouldBeNil)
+		So(p.Results(), ShouldResemble, []batch.Result{batch.NewResult("j-0", "text", true)})
+		So(p.Total(), ShouldEqual, 2)
+
+		_, err = g.Results(ctx, "none", 0, mostBytes, 0)
+		So(outcome.Is(err, outcome.NotFound), ShouldBeTrue)
+		So(g.End(ctx, "j"), ShouldBeNil)
+	})
+
+	Convey("When nobody who follows the partition can be asked, the answer is not 404", t, func() {
+		n.vms = []string{"gone", "b"}
+
+		_, err := g.Results(ctx, "j", 0, mostBytes, 0)
+		So(outcome.Is(err, outcome.NotFound), ShouldBeFalse)
+		So(outcome.From(err).Effect(), ShouldEqual, outcome.NotRun)
+	})
+
+	Convey("A job whose acceptance was lost on the way is not refused as not run", t, func() {
+		w.lost["a"] = true
+		n.vms = []string{"a", "gone"}
+
+		err := g.Submit(ctx, job("k", 1))
+		So(outcome.From(err).Effect(), ShouldEqual, outcome.Unknown)
+
+		w.lost["a"] = false
+
+		So(g.Submit(ctx, job("k", 1)), ShouldBeNil)
+	})
+}
+
+// some follows a partition or not, as a test sets it.
+type some struct {
+	mu      sync.Mutex
+	follows bool
+	uses    bool
+}
+
+func (s *some) set(follows, uses bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.follows, s.uses = follows, uses
+}
+
+func (s *some) Follows(int, time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.follows
+}
+
+func (s *some) Uses(int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.uses
+}
+
+func eventually(f func() bool) bool {
+	for range 1000 {
+		if f() {
+			return true
+		}
+
+		time.Sleep(10 * time.Millisecond)
+	}
+
+	return false
+}
+
+// Guards against a partition that is dropped while its jobs run here, calls that hang as their partition was dropped, and
+// jobs that are forgotten when a partition is followed again.
+func TestAssigner(t *testing.T) {
+	l := newMemory()
+	s := &some{follows: true}
+	b := batches.New(l, sizes, batch.NewRunner("vm", 1), time.Now, zerolog.Nop())
+
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+
+		_ = batches.NewAssigner(b, s, s, zerolog.Nop()).Run(ctx)
+	}()
+
+	defer func() { stop(); <-done }()
+
+	Convey("A partition is followed, kept while it is used, dropped, and followed again", t, func() {
+		So(b.Submit(ctx, job("j", 1)), ShouldBeNil)
+
+		s.set(false, true)
+		time.Sleep(6 * time.Second)
+		So(b.Follows("j"), ShouldBeTrue)
+
+		s.set(false, false)
+		So(eventually(func() bool { return !b.Follows("j") }), ShouldBeTrue)
+		So(b.Loaded(), ShouldBeTrue)
+
+		_, err := b.Results(ctx, "j", 0, mostBytes, 0)
+		So(outcome.Is(err, outcome.NotReady), ShouldBeTrue)
+		So(outcome.Is(b.Submit(ctx, job("k", 1)), outcome.NotReady), ShouldBeTrue)
+
+		s.set(true, false)
+		So(eventually(func() bool { return b.Follows("j") }), ShouldBeTrue)
+
+		p, err := b.Results(ctx, "j", 0, mostBytes, 0)
+		So(err, ShouldBeNil)
+		So(p.Total(), ShouldEqual, 1)
+	})
+}
--- /dev/null
+++ b/mesh/share_test.go
@@ -0,0 +1,67 @@
+package mesh_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agategap/agategap/mesh"
+)
+
+// Guards against duties that a VM with little processor time gets while larger ones are live, against failure domains
+// without a daemon that shares a duty, and against shares that move at once when a daemon is silent for a moment.
+func TestShare(t *testing.T) {
+	Convey("With 20 daemons in two failure domains, of which four are large", t, func() {
+		x := mesh.New(mesh.Peer{VM: "self", Address: "self:1", Domain: "a", Start: at(0).UnixMilli(), Power: 192})
+
+		for i := range 20 {
+			p := peer(fmt.Sprint("p", i), 1)
+			p.Domain = []string{"a", "b"}[i%2]
+			p.Power = 192
+
+			if i < 4 {
+				p.Power = 800
+			}
+
+			x.Heard(p, at(0))
+		}
+
+		Convey("each domain has its share, of the largest first, and all daemons choose alike", func() {
+			l := x.Share("duty", 3, at(2000))
+			n := map[string]int{}
+			large := 0
+
+			for _, p := range l {
+				n[p.Domain]++
+
+				if p.Power == 800 {
+					large++
+				}
+			}
+
+			So(n, ShouldResemble, map[string]int{"a": 3, "b": 3})
+			So(large, ShouldEqual, 4)
+			So(x.Ranked("duty", at(10))[0].Power, ShouldEqual, 800)
+		})
+
+		Convey("one that is silent for a short time keeps its share, and one that is leaving does not", func() {
+			l := vms(x.Share("duty", 3, at(2000)))
+			x.Failed(l[0])
+			So(x.Suspect(l[0]), ShouldBeTrue)
+			So(vms(x.Share("duty", 3, at(2000))), ShouldResemble, l)
+
+			p := peer(l[0], 1)
+			p.Leaving = true
+			x.Heard(p, at(2000))
+			So(vms(x.Share("duty", 3, at(2000))), ShouldNotContain, l[0])
+		})
+	})
+
+	Convey("A daemon that is alone has every share, also when it is leaving", t, func() {
+		x := mesh.New(peer("self", 1))
+		So(vms(x.Share("duty", 3, at(0))), ShouldResemble, []string{"self"})
+		x.Leave()
+		So(vms(x.Share("duty", 3, at(0))), ShouldResemble, []string{"self"})
+	})
+}
