--- a/integration/daemon_test.go
+++ b/integration/daemon_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agategap/agategap/standin/proxy"
 )
 
 // Guards against accepted work that dies with the daemon that acknowledged it.
@@ -95,7 +97,7 @@
 	time.Sleep(700 * time.Millisecond)
 
 	for _, p := range s.front {
-		p.silenceOpen(toClient)
+		p.SilenceOpen(proxy.ToClient)
 	}
 
 	wg.Wait()
--- a/integration/routed_test.go
+++ b/integration/routed_test.go
@@ -17,6 +17,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/agategap/agategap/standin/proxy"
 	"github.com/agategap/agategap/standin/store"
 	"github.com/agategap/agategap/standin/worker"
 )
@@ -34,7 +35,7 @@
 	store   *store.Store
 	address string
 	workers []*worker.Worker
-	toward  []*proxy // to each worker
+	toward  []*proxy.Proxy // to each worker
 }
 
 func newRouted(t *testing.T, daemons, workers int) *routed {
@@ -56,7 +57,7 @@
 
 		p := s.proxy(a.Listener.Addr().String())
 		s.workers, s.toward = append(s.workers, w), append(s.toward, p)
-		s.entry(id, p.address(), "ready")
+		s.entry(id, p.Address(), "ready")
 	}
 
 	s.store.Put("keyed.op", "config", []byte(`{"version":3,"routes":[
@@ -92,7 +93,7 @@
 
 	text := fmt.Sprintf("vm = %q\nfailure_domain = \"a\"\nregion = \"r\"\ninterface = \"routed\"\ncaller_address = %q\noperator_address = %q\n"+
 		"peer_address = %q\nplatform = %q\npeer_keys = [%q]\nlog_level = \"error\"\ndrain_wait = \"300ms\"\ndrain_most = \"10s\"\n",
-		n.vm, n.caller, n.operator, n.peer, n.platform.address(), peerKey)
+		n.vm, n.caller, n.operator, n.peer, n.platform.Address(), peerKey)
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -259,7 +260,7 @@
 	Convey("A path without a route is not found, and a worker that is leaving gets nothing new", t, func() {
 		So(s.do(http.MethodPost, s.nodes[0].caller, "/none/1", "none", "x").status, ShouldEqual, http.StatusNotFound)
 
-		s.entry("i-0", s.toward[0].address(), "draining")
+		s.entry("i-0", s.toward[0].Address(), "draining")
 		time.Sleep(time.Second)
 
 		before := len(s.workers[0].Runs())
@@ -279,7 +280,7 @@
 		time.Sleep(60 * time.Millisecond)
 
 		for _, p := range s.toward {
-			p.silenceOpen(toClient)
+			p.SilenceOpen(proxy.ToClient)
 		}
 
 		a := <-got
@@ -414,12 +415,12 @@
 	})
 
 	Convey("A daemon that the store turns away accepts and lists jobs through others", t, func() {
-		s.nodes[2].platform.setCut(true)
+		s.nodes[2].platform.SetCut(true)
 		time.Sleep(time.Second)
 
 		So(s.do(http.MethodPost, s.nodes[2].caller, "/batch/j", "job-5", jobBody("job-5", 3)).status, ShouldEqual, http.StatusAccepted)
 		So(s.finished(s.nodes[1], "job-5", 3).Total, ShouldEqual, 3)
 		So(s.finished(s.nodes[2], "job-5", 3), ShouldResemble, s.results(s.nodes[1], "job-5"))
-		s.nodes[2].platform.setCut(false)
+		s.nodes[2].platform.SetCut(false)
 	})
 }
--- a/integration/system_test.go
+++ b/integration/system_test.go
@@ -18,6 +18,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/agategap/agategap/standin/proxy"
 )
 
 // program is the path of the built command.
@@ -120,7 +122,7 @@
 type node struct {
 	*process
 	vm, domain, caller, operator, peer, settings string
-	platform                                     *proxy
+	platform                                     *proxy.Proxy
 }
 
 // system is a whole small system of processes.
@@ -128,7 +130,7 @@
 	t        *testing.T
 	platform *process
 	engines  []*process
-	front    []*proxy // one in front of each engine
+	front    []*proxy.Proxy // one in front of each engine
 	services []*process
 	nodes    []*node
 	list     []map[string]string
@@ -194,7 +196,7 @@
 
 		p := s.proxy(e.address)
 		s.front = append(s.front, p)
-		s.add(d+"-worker", p.address(), "", d, "target", "signwriter")
+		s.add(d+"-worker", p.Address(), "", d, "target", "signwriter")
 
 		b := start(t, "listening on ", append([]string{"standin", "service", "-address", "127.0.0.1:0"}, c.service...)...)
 		s.services = append(s.services, b)
@@ -228,15 +230,15 @@
 	return hex.EncodeToString(h[:])
 }
 
-func (s *system) proxy(target string) *proxy {
+func (s *system) proxy(target string) *proxy.Proxy {
 	s.t.Helper()
 
-	p, err := newProxy(target)
+	p, err := proxy.New(target)
 	if err != nil {
 		s.t.Fatal(err)
 	}
 
-	s.t.Cleanup(p.close)
+	s.t.Cleanup(p.Close)
 
 	return p
 }
@@ -284,7 +286,7 @@
 
 	text := fmt.Sprintf("vm = %q\nfailure_domain = %q\nregion = \"klang-valley\"\ncaller_address = %q\noperator_address = %q\npeer_address = %q\n"+
 		"platform = %q\npeer_keys = [%q]\nlog_level = \"error\"\ndrain_wait = \"300ms\"\ndrain_most = \"10s\"\n",
-		n.vm, domain, n.caller, n.operator, n.peer, n.platform.address(), peerKey)
+		n.vm, domain, n.caller, n.operator, n.peer, n.platform.Address(), peerKey)
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
