Add a soak that runs daemons under random faults and checks the promises

Cause: faults were tested one at a time, by tests written for them. The users ask for a randomized soak of real processes.

agategap soak draws faults from a seed (signals to processes, faults of the store, faults of connections through the proxy), lets them overlap and come in series, and checks ten promises from what callers and workers see. A seeded run is part of the integration tests.

--- /dev/null
+++ b/integration/soak_test.go
@@ -0,0 +1,34 @@
+package integration_test
+
+import (
+	"os/exec"
+	"strconv"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// regressions are seeds of the soak that broke a promise once, with the cause.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+// Guards against promises that are broken under faults that overlap and come in series.
+func TestSoak(t *testing.T) {
+	seeds := []uint64{20261204}
+	for _, r := range regressions {
+		seeds = append(seeds, r.seed)
+	}
+
+	for _, s := range seeds {
+		Convey("All promises are kept with seed "+strconv.FormatUint(s, 10), t, func() {
+			b, err := exec.Command(program, "soak", "-seed", strconv.FormatUint(s, 10), "-length", "10s").CombinedOutput()
+			if err != nil {
+				t.Log(string(b))
+			}
+
+			So(err, ShouldBeNil)
+		})
+	}
+}
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -54,6 +54,7 @@
 	cmdDemo,
 	cmdStandin,
 	cmdBench,
+	cmdSoak,
 }
 
 // errUsage means that the arguments are wrong.
--- /dev/null
+++ b/soak/report.go
@@ -0,0 +1,111 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"html/template"
+	"io"
+	"time"
+)
+
+// Report is what a soak has shown. Its fields are exported for the codecs.
+type Report struct {
+	Seed    uint64         `json:"seed"`
+	Length  string         `json:"length"`
+	Daemons int            `json:"daemons"`
+	Workers int            `json:"workers"`
+	Broken  []BrokenRecord `json:"broken"`
+	Faults  []FaultRecord  `json:"faults"`
+	Counts  map[string]int `json:"counts"`
+}
+
+// BrokenRecord is a broken promise.
+type BrokenRecord struct {
+	Promise Promise `json:"promise"`
+	AtMS    int64   `json:"at_ms"`
+	ID      string  `json:"id"`
+	What    string  `json:"what"`
+}
+
+// FaultRecord is a fault as it was injected.
+type FaultRecord struct {
+	Kind   Kind  `json:"kind"`
+	Index  int   `json:"index"` // of the daemon or worker
+	FromMS int64 `json:"from_ms"`
+	ToMS   int64 `json:"to_ms"`
+}
+
+func newReport(o Options, l *Ledger, j *injector) Report {
+	r := Report{
+		Seed: o.Seed, Length: o.Length.String(), Daemons: o.Daemons, Workers: o.Workers, Broken: []BrokenRecord{}, Counts: l.Counts(),
+	}
+
+	for _, b := range l.Broken() {
+		r.Broken = append(r.Broken, BrokenRecord{Promise: b.promise, AtMS: b.at.Milliseconds(), ID: b.id, What: b.what})
+	}
+
+	for _, s := range j.done {
+		r.Faults = append(r.Faults, FaultRecord{
+			Kind: s.fault.kind, Index: s.fault.index, FromMS: s.from.Sub(l.start).Milliseconds(), ToMS: s.to.Sub(l.start).Milliseconds(),
+		})
+	}
+
+	return r
+}
+
+// Kept reports whether all promises were kept.
+func (r Report) Kept() bool { return len(r.Broken) == 0 }
+
+// WriteText writes one line, and one for each broken promise.
+func (r Report) WriteText(w io.Writer) error {
+	if _, err := fmt.Fprintf(w, "seed %d: %d faults, %d requests served, %d jobs accepted, %d promises broken\n",
+		r.Seed, len(r.Faults), r.Counts["answer 200"], r.Counts["job 202"], len(r.Broken)); err != nil {
+		return err
+	}
+
+	for _, b := range r.Broken {
+		at := time.Duration(b.AtMS) * time.Millisecond
+		if _, err := fmt.Fprintf(w, "  %8s  %-10s %s: %s\n", at, b.Promise, b.ID, b.What); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+// WriteJSON writes the reports of several soaks.
+func WriteJSON(w io.Writer, l []Report) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+
+	return e.Encode(l)
+}
+
+// WriteHTML writes the reports of several soaks as a page with a timeline of each.
+func WriteHTML(w io.Writer, l []Report) error { return reportPage.Execute(w, l) }
+
+var reportPage = template.Must(template.New("report").Funcs(template.FuncMap{
+	"left":  func(ms int64) string { return fmt.Sprintf("%.1fem", float64(ms)/emMS) },
+	"width": func(f FaultRecord) string { return fmt.Sprintf("%.1fem", max(0.3, float64(f.ToMS-f.FromMS)/emMS)) },
+}).Parse(`<!doctype html>
+<meta charset="utf-8">
+<title>agategap soak</title>
+<style>
+body { font-family: sans-serif; margin: 2em }
+.line { position: relative; height: 1.3em; white-space: nowrap; font-size: 80% }
+.bar { position: absolute; height: 1em; background: #9bd; }
+.name { position: absolute; left: 0; width: 14em }
+.broken { color: #b00 }
+</style>
+<h1>Soak</h1>
+{{range .}}
+<h2>Seed {{.Seed}}: {{len .Broken}} promises broken</h2>
+<p>{{.Daemons}} daemons, {{.Workers}} workers, faults for {{.Length}}.</p>
+{{range .Broken}}<p class="broken">{{.AtMS}} ms, {{.Promise}}, {{.ID}}: {{.What}}</p>{{end}}
+{{range .Faults}}<div class="line"><span class="name">{{.FromMS}} ms {{.Kind}} {{.Index}}</span><span class="bar" style="margin-left: 15em; left: {{left .FromMS}}; width: {{width .}}"></span></div>
+{{end}}
+{{end}}
+`))
+
+// emMS is the number of milliseconds in one em of a timeline.
+const emMS = 1000
--- /dev/null
+++ b/soak/request.go
@@ -0,0 +1,272 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/agategap/agategap/standin/worker"
+)
+
+const (
+	// requestLimit is the time that a caller waits for an answer.
+	requestLimit = 5 * time.Second
+	// requestPause is the mean pause of a caller between two requests.
+	requestPause = 150 * time.Millisecond
+	// stayShare is the share of requests after which a caller stays with its daemon, whose connection it then uses again.
+	stayShare = 0.9
+	// applyWithin is the time in which a confirmed configuration is in force, and reached its daemons after a fault.
+	applyWithin = 2 * time.Second
+	// backWithin is the time after which a version that was shown must not be followed by an older one.
+	backWithin = 250 * time.Millisecond
+	// calm is the time without a fault after which bounds in time hold.
+	calm = 3 * time.Second
+)
+
+// callers make requests and remember what must not happen to them.
+type callers struct {
+	world    *world
+	injector *injector
+	ledger   *Ledger
+	serial   atomic.Int64
+
+	mu      sync.Mutex
+	sent    map[string]bool // may the request run more than once?
+	refused map[string]bool
+	shown   map[string]shown // newest version that a process has shown, by daemon
+	served  int
+}
+
+// shown is the newest version that a run of a daemon has shown.
+type shown struct {
+	run     int
+	version int
+	at      time.Time
+}
+
+func newCallers(w *world, j *injector, l *Ledger) *callers {
+	return &callers{world: w, injector: j, ledger: l, sent: map[string]bool{}, refused: map[string]bool{}, shown: map[string]shown{}}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	whole  bool // the answer ended as one that is complete
+}
+
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: requestLimit}
+}
+
+// call makes one call on a kept connection if there is one.
+func call(ctx context.Context, c *http.Client, method, address, path, id, body string) answer {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		return answer{}
+	}
+
+	r.Host = host
+	r.Header.Set("Deadline-Ms", fmt.Sprint(requestLimit.Milliseconds()))
+
+	if id != "" {
+		r.Header.Set("Request-Id", id)
+	}
+
+	a, err := c.Do(r)
+	if err != nil {
+		return answer{}
+	}
+	defer func() { _ = a.Body.Close() }()
+
+	b, err := io.ReadAll(a.Body)
+
+	return answer{status: a.StatusCode, body: string(b), whole: err == nil}
+}
+
+// run is the life of one caller.
+func (x *callers) run(ctx context.Context, r *rand.Rand) {
+	c := newClient()
+	defer c.CloseIdleConnections()
+
+	n := r.IntN(len(x.world.daemons))
+
+	for ctx.Err() == nil {
+		ok := x.request(ctx, c, r, n)
+		if !ok || r.Float64() > stayShare {
+			n = r.IntN(len(x.world.daemons))
+		}
+
+		select {
+		case <-time.After(time.Duration(r.ExpFloat64() * float64(requestPause))):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// request makes one request and reports whether it was served.
+func (x *callers) request(ctx context.Context, c *http.Client, r *rand.Rand, n int) bool {
+	id := fmt.Sprintf("q%d", x.serial.Add(1))
+	d := x.world.daemons[n]
+
+	version, repeatable, path := 0, false, "/once/x"
+
+	switch k := r.Float64(); {
+	case k < 0.4: //nolint:mnd // shares of the routes
+		repeatable, path = true, "/again/x"
+	case k < 0.6: //nolint:mnd // shares of the routes
+		version = x.world.newest()
+		path = fmt.Sprintf("/v%d/x", version)
+	}
+
+	x.mu.Lock()
+	x.sent[id] = repeatable
+	x.mu.Unlock()
+
+	began, run := time.Now(), d.runs()
+	a := call(ctx, c, http.MethodPost, d.caller, path, id, "x")
+
+	if ctx.Err() != nil {
+		return false // the soak ends
+	}
+
+	x.ledger.Count(fmt.Sprint("answer ", a.status))
+	x.check(id, n, began, a)
+
+	if version > 0 {
+		x.checkVersion(n, run, version, began, a)
+	}
+
+	return a.status == http.StatusOK && a.whole
+}
+
+// stream is the whole answer to a request.
+func stream(id string) string {
+	var b strings.Builder
+	for n := 1; n <= events; n++ {
+		b.WriteString(worker.Event(id, n))
+	}
+
+	return b.String()
+}
+
+// check checks what an answer promises.
+func (x *callers) check(id string, n int, began time.Time, a answer) {
+	d := x.world.daemons[n]
+
+	switch {
+	case a.status == http.StatusOK && a.whole:
+		if want := stream(id); a.body != want {
+			x.ledger.Break(Whole, id, fmt.Sprintf("%s: an answer of %d bytes looks complete; the whole one has %d", d.vm, len(a.body), len(want)))
+		}
+
+		x.mu.Lock()
+		x.served++
+		x.mu.Unlock()
+	case a.status == http.StatusTooManyRequests, a.status == http.StatusServiceUnavailable:
+		x.mu.Lock()
+		x.refused[id] = true
+		x.mu.Unlock()
+	case a.status == http.StatusOK || a.status == 0:
+		x.checkShutdown(id, n, began, a)
+	}
+}
+
+// checkShutdown checks that a request that was cut off was not cut by the shutdown of its daemon.
+func (x *callers) checkShutdown(id string, n int, began time.Time, a answer) {
+	now := time.Now()
+	stopped := func(f Fault) bool { return f.kind == Stop && f.index == n }
+	other := func(f Fault) bool {
+		return concernsTargets(f) || f.index == n && (f.kind == Kill || f.kind == Pause)
+	}
+
+	if a.status == 0 && now.Sub(began) < requestLimit && x.world.daemons[n].gone() {
+		return // no connection: nothing was read
+	}
+
+	if !x.injector.quiet(began, now, stopped) && x.injector.quiet(began.Add(-calm), now, other) && a.status == http.StatusOK {
+		x.ledger.Break(Shutdown, id, fmt.Sprintf("%s cut an answer off at %d bytes while it was stopped", x.world.daemons[n].vm, len(a.body)))
+	}
+}
+
+// gone reports whether the process of a daemon has ended.
+func (d *daemon) gone() bool {
+	select {
+	case <-d.end():
+		return true
+	default:
+		return false
+	}
+}
+
+// checkVersion checks that a version that a daemon has shown stays in force, and that the newest one soon is.
+func (x *callers) checkVersion(n, run, version int, began time.Time, a answer) {
+	d := x.world.daemons[n]
+	knows := a.status == http.StatusOK || a.status == http.StatusServiceUnavailable && strings.Contains(a.body, "overloaded")
+
+	x.mu.Lock()
+	defer x.mu.Unlock()
+
+	s := x.shown[d.vm]
+
+	switch {
+	case knows && run == d.runs() && (s.run != run || version > s.version):
+		x.shown[d.vm] = shown{run: run, version: version, at: time.Now()}
+	case a.status == http.StatusNotFound && s.run == run && d.runs() == run && version <= s.version && began.Sub(s.at) > backWithin:
+		x.ledger.Break(Forward, d.vm, fmt.Sprintf("version %d was shown and is not in force any more", version))
+	case a.status == http.StatusNotFound && x.injector.quiet(began.Add(-calm-applyWithin), time.Now(), func(f Fault) bool {
+		return f.kind == Configure || concernsDaemon(n)(f)
+	}):
+		x.ledger.Break(InForce, d.vm, fmt.Sprintf("version %d is not in force", version))
+	}
+}
+
+// finish checks the runs that the workers saw, and that all daemons serve again.
+func (x *callers) finish(ctx context.Context) {
+	for n, d := range x.world.daemons {
+		c := newClient()
+		served := 0
+
+		for range recoveryRequests {
+			if x.request(ctx, c, rand.New(rand.NewPCG(uint64(n), 0)), n) { //nolint:gosec // any route
+				served++
+			}
+		}
+
+		c.CloseIdleConnections()
+
+		if served < recoveryRequests*3/4 {
+			x.ledger.Break(Recovered, d.vm, fmt.Sprintf("%d of %d requests are served after all faults", served, recoveryRequests))
+		}
+	}
+
+	times := map[string]int{}
+
+	for _, t := range x.world.targets {
+		for _, r := range t.worker.Runs() {
+			times[r.ID]++
+		}
+	}
+
+	x.mu.Lock()
+	defer x.mu.Unlock()
+
+	for id, repeatable := range x.sent {
+		if times[id] > 1 && !repeatable {
+			x.ledger.Break(Once, id, fmt.Sprintf("the request ran %d times", times[id]))
+		}
+
+		if times[id] > 0 && x.refused[id] {
+			x.ledger.Break(NotRun, id, "the request was refused as not run, and ran")
+		}
+	}
+}
+
+// recoveryRequests is the number of requests that each daemon gets after all faults.
+const recoveryRequests = 8
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,103 @@
+package soak_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/agategap/agategap/soak"
+)
+
+// Guards against faults that are never undone, name a daemon or worker that does not exist, or differ between two runs of
+// a seed.
+func TestSchedule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		length := time.Duration(rapid.IntRange(0, 120_000).Draw(t, "ms")) * time.Millisecond
+		daemons, workers := rapid.IntRange(1, 30).Draw(t, "daemons"), rapid.IntRange(1, 30).Draw(t, "workers")
+
+		l := soak.Schedule(seed, length, daemons, workers)
+		again := soak.Schedule(seed, length, daemons, workers)
+
+		if len(l) != len(again) {
+			t.Fatal("two schedules of a seed differ")
+		}
+
+		for i, f := range l {
+			switch {
+			case f != again[i]:
+				t.Fatal("two schedules of a seed differ")
+			case f.Start() < 0 || f.End() <= f.Start() || f.End() > length:
+				t.Fatalf("%+v does not lie within the soak", f)
+			case f.Index() >= max(daemons, workers):
+				t.Fatalf("%+v names nothing", f)
+			case i > 0 && f.Start() < l[i-1].Start():
+				t.Fatal("the faults are out of order")
+			}
+		}
+	})
+}
+
+// Guards against schedules without series, overlaps or some kind of fault.
+func TestScheduleVaries(t *testing.T) {
+	Convey("A long schedule has every kind, faults that overlap and series", t, func() {
+		l := soak.Schedule(1, 20*time.Minute, 9, 6)
+		kinds := map[soak.Kind]int{}
+		overlaps, series := 0, 0
+
+		for i, f := range l {
+			kinds[f.Kind()]++
+
+			if i > 0 && l[i-1].End() > f.Start() {
+				overlaps++
+			}
+
+			if i > 0 && l[i-1].Kind() == f.Kind() {
+				series++
+			}
+		}
+
+		So(len(kinds), ShouldEqual, 20)
+		So(overlaps, ShouldBeGreaterThan, len(l)/4)
+		So(series, ShouldBeGreaterThan, len(l)/20)
+	})
+}
+
+// Guards against broken promises that a report leaves out.
+func TestReport(t *testing.T) {
+	Convey("A report names what was broken in each form", t, func() {
+		r := soak.Report{
+			Seed: 7, Broken: []soak.BrokenRecord{{Promise: soak.Once, AtMS: 1500, ID: "q1", What: "the request ran 2 times"}},
+			Faults: []soak.FaultRecord{{Kind: soak.Kill, Index: 3, FromMS: 1000, ToMS: 2000}},
+		}
+
+		So(r.Kept(), ShouldBeFalse)
+		So(soak.Report{}.Kept(), ShouldBeTrue)
+
+		for _, write := range []func(*bytes.Buffer) error{
+			func(b *bytes.Buffer) error { return r.WriteText(b) },
+			func(b *bytes.Buffer) error { return soak.WriteJSON(b, []soak.Report{r}) },
+			func(b *bytes.Buffer) error { return soak.WriteHTML(b, []soak.Report{r}) },
+		} {
+			var b bytes.Buffer
+
+			So(write(&b), ShouldBeNil)
+			So(b.String(), ShouldContainSubstring, "q1")
+			So(b.String(), ShouldContainSubstring, "the request ran 2 times")
+		}
+	})
+
+	Convey("A ledger keeps what was broken and counts the rest", t, func() {
+		l := soak.NewLedger()
+		l.Break(soak.NotRun, "q2", "it ran")
+		l.Count("answer 200")
+		l.Count("answer 200")
+
+		So(l.Broken(), ShouldHaveLength, 1)
+		So(l.Broken()[0].Promise(), ShouldEqual, soak.NotRun)
+		So(l.Counts()["answer 200"], ShouldEqual, 2)
+	})
+}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -34,10 +34,11 @@
 
 // Run is one request that reached the worker and ran.
 type Run struct {
-	ID    string `json:"id"`
-	After int    `json:"after"` // event behind which the run went on
-	Sent  int    `json:"sent"`  // events sent
-	Whole bool   `json:"whole"`
+	ID    string    `json:"id"`
+	Start time.Time `json:"start"`
+	After int       `json:"after"` // event behind which the run went on
+	Sent  int       `json:"sent"`  // events sent
+	Whole bool      `json:"whole"`
 }
 
 // Worker is the stand-in. Use New.
@@ -161,7 +162,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 
-	v := &Run{ID: id, After: after}
+	v := &Run{ID: id, Start: time.Now(), After: after}
 	k.runs = append(k.runs, v)
 	f := k.faults
 	end := 0
