--- a/batch/append.go
+++ b/batch/append.go
@@ -139,8 +139,82 @@
 	}
 
 	k, err := encode(key(resultPrefix, job, itoa(n)), resultRecord{Item: v.item, Done: v.done, Text: text, Parts: parts})
+	if err != nil {
+		return nil, err
+	}
+
+	records = append(records, k)
+	records = append(records, l.replica.dropProgress(job, v.item)...)
+
+	if n+1 < l.replica.total(job) {
+		return records, nil
+	}
+
+	stubs, err := l.replica.stubs(job)
+
+	return append(records, stubs...), err
+}
+
+// dropProgress returns records that drop the progress of an item.
+func (r *Replica) dropProgress(id, item string) []stream.Keyed {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	j, ok := r.jobs[id]
+	if !ok || j.saved[item] == nil {
+		return nil
+	}
+
+	var l []stream.Keyed
+	for _, n := range j.saved[item].from {
+		l = append(l, stream.NewKeyed(0, key(progressPrefix, id, item, itoa(n)), nil))
+	}
+
+	return l
+}
+
+// stubs returns records that replace the items of a job by their identifiers. The bodies are most of a job's bytes, and
+// nobody asks for them once every item is listed or the job has ended.
+func (r *Replica) stubs(id string) ([]stream.Keyed, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	j, ok := r.jobs[id]
+	if !ok {
+		return nil, nil
+	}
+
+	var l []stream.Keyed
+
+	for n := range j.record.Chunks {
+		ids := []itemRecord{}
 
-	return append(records, k), err
+		if n == 0 {
+			for _, i := range j.ids {
+				ids = append(ids, itemRecord{ID: i})
+			}
+		}
+
+		k, err := encode(key(chunkPrefix, id, itoa(n)), ids)
+		if err != nil {
+			return nil, err
+		}
+
+		l = append(l, k)
+	}
+
+	return l, nil
+}
+
+func (r *Replica) total(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if j, ok := r.jobs[id]; ok {
+		return j.record.Items
+	}
+
+	return 0
 }
 
 func (r *Replica) position(id string) int {
@@ -162,8 +236,18 @@
 	}
 
 	k, err := encode(key(endPrefix, id), struct{}{})
+	if err != nil {
+		return nil, err
+	}
 
-	return []stream.Keyed{k}, err
+	l := []stream.Keyed{k}
+	for _, i := range v.Open() {
+		l = append(l, r.dropProgress(id, i.ID())...)
+	}
+
+	stubs, err := r.stubs(id)
+
+	return append(l, stubs...), err
 }
 
 // Fail returns the record of a failed run of an item.
--- a/batch/batch.go
+++ b/batch/batch.go
@@ -127,7 +127,8 @@
 type job struct {
 	id      string
 	record  jobRecord
-	items   []Item
+	ids     []string // of the items, in order
+	items   []Item   // none once the job has ended
 	index   map[string]int
 	results []Result
 	listed  map[string]bool
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -104,7 +104,7 @@
 func (r *Replica) apply(k stream.Keyed) {
 	prefix, id, rest := parse(k.Key())
 	if len(k.Value()) == 0 {
-		r.drop(prefix, id)
+		r.drop(prefix, id, rest)
 
 		return
 	}
@@ -137,14 +137,20 @@
 	}
 }
 
-// drop forgets a job whose records are dropped. The record that makes it exist is dropped first.
-func (r *Replica) drop(prefix, id string) {
-	if prefix != jobPrefix {
+// drop forgets a job whose records are dropped, and the progress of an item that is listed. Of a job's records, the one
+// that makes it exist is dropped first.
+func (r *Replica) drop(prefix, id, rest string) {
+	j, ok := r.jobs[id]
+	if !ok {
 		return
 	}
 
-	j, ok := r.jobs[id]
-	if !ok {
+	if prefix == progressPrefix {
+		item, _, _ := strings.Cut(rest, separator)
+		delete(j.saved, item)
+	}
+
+	if prefix != jobPrefix {
 		return
 	}
 
@@ -241,6 +247,7 @@
 	}
 
 	j.index[i.ID] = len(j.items)
+	j.ids = append(j.ids, i.ID)
 	j.items = append(j.items, NewItem(i.ID, i.Path, i.Header, i.Body, i.Tokens))
 }
 
--- a/batches/followers.go
+++ b/batches/followers.go
@@ -9,8 +9,8 @@
 )
 
 // followersEach is the number of daemons in each failure domain that follow a partition. A failure domain that is cut
-// off then still has one when two of its VMs are lost, and the copies do not grow with the number of daemons.
-const followersEach = 3
+// off then still has one when a VM of it is lost, and the copies do not grow with the number of daemons.
+const followersEach = 2
 
 // Sharers knows the daemons that share a duty.
 type Sharers interface {
--- a/keyed/follower.go
+++ b/keyed/follower.go
@@ -59,6 +59,7 @@
 	next   int64
 	loaded bool
 	fresh  time.Time // start of the last read that reached the end
+	pages  *listing  // pages of a listing that is not complete
 	down   bool
 	ready  chan struct{}
 }
@@ -255,42 +256,76 @@
 	}
 }
 
+// listing is what was read of the newest records so far.
+type listing struct {
+	records []stream.Keyed
+	end     int64 // as the first page named it; negative before
+	after   string
+	begun   time.Time
+}
+
+// resumeWithin is how old a listing that was interrupted may be. What follows its first page has to be retained until
+// it is complete; platforms keep some tens of seconds at least.
+const resumeWithin = 10 * time.Second
+
+// resume returns a listing that was interrupted, or a new one. A listing that started over after each failure would never
+// be complete while the log is slow.
+func (f *Follower) resume() *listing {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	g := f.pages
+	f.pages = nil
+
+	if g == nil || time.Since(g.begun) > resumeWithin {
+		g = &listing{end: -1, begun: time.Now()}
+	}
+
+	return g
+}
+
+func (f *Follower) interrupt(g *listing) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.pages = g
+}
+
 // load reads the newest record of each key. Records behind the end that the first page names are read afterwards, so
 // that pages need not be a snapshot.
 func (f *Follower) load(ctx context.Context) error {
-	var l []stream.Keyed
-
-	end := int64(-1)
-	after := ""
+	g := f.resume()
 
 	for {
-		p, err := f.log.Newest(ctx, f.name, f.part, after)
+		p, err := f.log.Newest(ctx, f.name, f.part, g.after)
 		if err != nil {
+			f.interrupt(g)
+
 			return err
 		}
 
-		if end < 0 {
-			end = p.End()
+		if g.end < 0 {
+			g.end = p.End()
 		}
 
-		l = append(l, p.Records()...)
+		g.records = append(g.records, p.Records()...)
 
 		if !p.More() || len(p.Records()) == 0 {
 			break
 		}
 
-		after = p.Records()[len(p.Records())-1].Key()
+		g.after = p.Records()[len(p.Records())-1].Key()
 	}
 
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	if f.loaded && end < f.next {
+	if f.loaded && g.end < f.next {
 		return nil // another call has read on meanwhile
 	}
 
-	f.sink.Reset(l)
-	f.next = end
+	f.sink.Reset(g.records)
+	f.next = g.end
 
 	if !f.loaded {
 		f.loaded = true
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -82,6 +82,7 @@
 
 		e := Lease{id: d.id, holder: d.holder, target: v.target.name, class: d.class, due: d.due, needs: d.needs, since: now}
 		p.add(e)
+		v.use(d.holder)
 
 		l = append(l, e)
 		granted[d.id] = true
@@ -124,8 +125,9 @@
 	return l
 }
 
-// choose returns the target for a demand: a preferred one, then one of its own failure domain, then the one with the
-// smallest share of its slots in use. A suspect target is tried only when no other one is free.
+// choose returns the target for a demand: a preferred one, then one of its own failure domain, then one that its holder
+// has an idle connection to, then the one with the smallest share of its slots in use. A suspect target is tried only when
+// no other one is free.
 func (p *Pool) choose(d *Demand, now time.Time) *place {
 	var best *place
 
@@ -159,6 +161,10 @@
 		return a
 	}
 
+	if a, b := v.warm[d.holder].count > 0, o.warm[d.holder].count > 0; a != b {
+		return a
+	}
+
 	if a, b := v.used*o.target.slots, o.used*v.target.slots; a != b {
 		return a < b
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -57,6 +57,9 @@
 	// batchPause is the time after leases were asked back in which batch work gets no slots. In a burst, each slot that it
 	// got would be asked back within a few milliseconds, before the run could begin.
 	batchPause = 150 * time.Millisecond
+	// warmFor is how long after a request its holder is thought to keep the connection to the target. Targets may drop
+	// connections after a few idle seconds.
+	warmFor = 3 * time.Second
 	// releaseMemory is how long a released lease is remembered, so that an older report does not bring it back.
 	releaseMemory = time.Second
 )
@@ -95,6 +98,13 @@
 	used   int
 	until  time.Time // no new work before this time
 	faults int       // failures in a row
+	warm   map[string]warm
+}
+
+// warm are the idle connections that a holder is thought to have to a target.
+type warm struct {
+	count int
+	since time.Time // the last request ended
 }
 
 // SetTargets replaces the targets. What is known of those that stay is kept.
@@ -207,15 +217,55 @@
 		p.duration = p.held() + time.Duration(durationWeight*float64(now.Sub(e.since)-p.held()))
 	}
 
+	holder := ""
+	if e, ok := p.leases[id]; ok {
+		holder = e.holder
+	}
+
 	p.drop(id)
 
 	if v, ok := p.targets[target]; ok {
 		v.observe(f, now)
+
+		if f == None && holder != "" {
+			v.keep(holder, now)
+		}
 	}
 
 	return p.decide(now)
 }
 
+// keep records that a holder has one more idle connection.
+func (v *place) keep(holder string, now time.Time) {
+	if v.warm == nil {
+		v.warm = map[string]warm{}
+	}
+
+	v.warm[holder] = warm{count: v.warm[holder].count + 1, since: now}
+}
+
+// use records that a holder uses a connection.
+func (v *place) use(holder string) {
+	w, ok := v.warm[holder]
+
+	switch {
+	case !ok:
+	case w.count <= 1:
+		delete(v.warm, holder)
+	default:
+		v.warm[holder] = warm{count: w.count - 1, since: w.since}
+	}
+}
+
+// cool forgets connections that were idle for too long.
+func (v *place) cool(now time.Time) {
+	for h, w := range v.warm {
+		if now.Sub(w.since) > warmFor {
+			delete(v.warm, h)
+		}
+	}
+}
+
 // observe records what a request showed.
 func (v *place) observe(f Fault, now time.Time) {
 	switch f {
@@ -305,6 +355,10 @@
 		}
 	}
 
+	for _, v := range p.targets {
+		v.cool(now)
+	}
+
 	return p.decide(now)
 }
 
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -331,3 +331,31 @@
 		p.Expire(at(i + 5000*i))
 	}
 }
+
+// Guards against a new connection for each request although the daemon has just used one to a target with a free slot.
+func TestWarmConnections(t *testing.T) {
+	Convey("With three targets of which one served a daemon a moment ago", t, func() {
+		var p pool.Pool
+
+		p.SetTargets([]pool.Target{pool.NewTarget("t1", "a", 2), pool.NewTarget("t2", "a", 2), pool.NewTarget("t3", "a", 2)})
+
+		first := p.Ask(online("busy", 1000), at(0)).Grants()[0].Target()
+		second := p.Ask(online("r1", 1000), at(0)).Grants()[0]
+		So(second.Target(), ShouldNotEqual, first)
+		p.Release("r1", second.Target(), pool.None, at(10))
+
+		Convey("its next request goes there, and one more does not", func() {
+			So(p.Ask(online("r2", 1000), at(20)).Grants()[0].Target(), ShouldEqual, second.Target())
+			So(p.Ask(online("r3", 1000), at(20)).Grants()[0].Target(), ShouldNotEqual, second.Target())
+		})
+
+		Convey("a request of another daemon goes by load, and so does one of its own after a while", func() {
+			other := pool.NewDemand("o", "other", "a", pool.Online, 0, at(1000)).Preferring(second.Target())
+			So(p.Ask(other, at(20)).Grants()[0].Target(), ShouldEqual, second.Target())
+			So(p.Ask(pool.NewDemand("o2", "other", "a", pool.Online, 0, at(1000)), at(20)).Grants()[0].Target(), ShouldNotEqual, second.Target())
+
+			p.Expire(at(5000))
+			So(p.Ask(online("r4", 6000), at(5000)).Grants()[0].Target(), ShouldNotEqual, second.Target())
+		})
+	})
+}
