Test the controllers of slots, and remember the ranking of daemons for a moment

The controllers of slots had no test of their own: shared slots, a lost owner, items that yield, a lost notice of a grant. The soak makes its last requests to all daemons at once.

--- a/mesh/share_test.go
+++ b/mesh/share_test.go
@@ -65,3 +65,16 @@
 		So(vms(x.Share("duty", 3, at(0))), ShouldResemble, []string{"self"})
 	})
 }
+
+func BenchmarkRanked(b *testing.B) {
+	x := mesh.New(peer("self", 1))
+	for i := range 340 {
+		x.Heard(peer(fmt.Sprint("p", i), 1), at(0))
+	}
+
+	b.ReportAllocs()
+
+	for b.Loop() {
+		x.Ranked("duty", at(10))
+	}
+}
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -49,6 +49,7 @@
 	self   Peer
 	since  time.Time // when this daemon started, or went on after a pause
 	shards [tableShards]tableShard
+	ranks  ranks
 }
 
 type tableShard struct {
@@ -97,6 +98,7 @@
 	defer t.mu.Unlock()
 
 	t.self.Leaving = true
+	t.ranks.clear()
 }
 
 func (t *Table) shard(vm string) *tableShard { return &t.shards[shard.Index(vm, tableShards)] }
@@ -118,6 +120,10 @@
 	}
 
 	if ok && p.Start == s.peer.Start {
+		if p.Leaving && !s.peer.Leaving {
+			t.ranks.clear()
+		}
+
 		s.peer.Leaving = s.peer.Leaving || p.Leaving
 
 		return false
@@ -129,6 +135,8 @@
 
 	h.peers[p.VM] = &state{peer: p, added: now}
 
+	t.ranks.clear()
+
 	return true
 }
 
@@ -142,6 +150,10 @@
 	defer h.mu.Unlock()
 
 	if s, ok := h.peers[p.VM]; ok && s.peer.Start == p.Start {
+		if s.failed || s.heard.IsZero() || p.Leaving != s.peer.Leaving {
+			t.ranks.clear()
+		}
+
 		s.heard, s.failed = now, false
 		s.peer.Leaving = s.peer.Leaving || p.Leaving
 	}
@@ -156,6 +168,8 @@
 
 	if s, ok := h.peers[vm]; ok {
 		s.failed = true
+
+		t.ranks.clear()
 	}
 }
 
@@ -251,35 +265,6 @@
 	}
 }
 
-// Ranked returns the daemons that may do a duty, the first choice first: those with the most processor time, and among
-// equals by a rendezvous hash. A small VM may need all of its time for the requests of its own callers. This daemon is
-// among them unless it is leaving and another one is live.
-func (t *Table) Ranked(duty string, now time.Time) []Peer {
-	l := t.Live(now)
-	if v := t.Self(); !v.Leaving || len(l) == 0 {
-		l = append(l, v)
-	}
-
-	return rank(duty, l)
-}
-
-func rank(duty string, l []Peer) []Peer {
-	m := make(map[string]Peer, len(l))
-	n := make([]string, len(l))
-
-	for i, p := range l {
-		m[p.VM], n[i] = p, p.VM
-	}
-
-	for i, vm := range shard.Rank(duty, n) {
-		l[i] = m[vm]
-	}
-
-	slices.SortStableFunc(l, func(a, b Peer) int { return cmp.Compare(b.Power, a.Power) })
-
-	return l
-}
-
 // Digest returns a number that differs between tables that know different daemons.
 func (t *Table) Digest() uint64 {
 	var d uint64
--- /dev/null
+++ b/slots/slots_test.go
@@ -0,0 +1,367 @@
+package slots_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agategap/agategap/filter"
+	"github.com/agategap/agategap/fleet"
+	"github.com/agategap/agategap/mesh"
+	"github.com/agategap/agategap/outcome"
+	"github.com/agategap/agategap/routing"
+	"github.com/agategap/agategap/slots"
+)
+
+// network connects the daemons of a test. Calls to a daemon that is down are not answered.
+type network struct {
+	mu      sync.Mutex
+	daemons map[string]*daemon
+	down    map[string]bool
+	lost    map[string]int // notices to a daemon that are lost
+}
+
+// daemon is one daemon with its owner and its holder. All daemons rank the others by name.
+type daemon struct {
+	network *network
+	self    mesh.Peer
+	owner   *slots.Owner
+	holder  *slots.Holder
+
+	mu     sync.Mutex
+	failed map[string]bool
+}
+
+var errDown = errors.New("no answer")
+
+func (n *network) Call(ctx context.Context, address, method string, q, a any) error {
+	n.mu.Lock()
+	d, down, lost := n.daemons[address], n.down[address], method == "Holder.Notice" && n.lost[address] > 0
+	if lost {
+		n.lost[address]--
+	}
+	n.mu.Unlock()
+
+	if down || d == nil {
+		<-ctx.Done()
+
+		return ctx.Err()
+	}
+
+	if lost {
+		return nil // taken for delivered, as when the daemon is paused behind its socket
+	}
+
+	switch method {
+	case "Slot.Ask":
+		return d.owner.Ask(q.(slots.DemandMessage), a.(*slots.DemandReply))
+	case "Slot.Withdraw":
+		return d.owner.Withdraw(q.(slots.WithdrawMessage), nil)
+	case "Slot.Release":
+		return d.owner.Release(q.(slots.ReleaseMessage), nil)
+	case "Slot.Report":
+		return d.owner.Report(q.(slots.ReportMessage), nil)
+	case "Holder.Notice":
+		return d.holder.Notice(q.(slots.NoticeMessage), nil)
+	default:
+		return errDown
+	}
+}
+
+func (n *network) setDown(address string, down bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.down[address] = down
+}
+
+func (n *network) lose(address string, count int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.lost[address] = count
+}
+
+func (d *daemon) Self() mesh.Peer { return d.self }
+
+func (d *daemon) Live(now time.Time) []mesh.Peer { return d.Ranked("", now) }
+
+func (d *daemon) Ranked(string, time.Time) []mesh.Peer {
+	d.network.mu.Lock()
+	defer d.network.mu.Unlock()
+
+	var l []mesh.Peer
+
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	for _, o := range d.network.daemons {
+		if !d.failed[o.self.VM] {
+			l = append(l, o.self)
+		}
+	}
+
+	slices.SortFunc(l, func(a, b mesh.Peer) int {
+		if a.VM < b.VM {
+			return -1
+		}
+
+		return 1
+	})
+
+	return l
+}
+
+func (d *daemon) Failed(vm string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.failed[vm] = true
+}
+
+// workers are the targets of the service.
+type workers struct {
+	mu   sync.Mutex
+	list []fleet.Target
+}
+
+func (w *workers) Usable(string, time.Time) []fleet.Target {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return slices.Clone(w.list)
+}
+
+func (w *workers) Find(name string, now time.Time) (fleet.Target, bool) {
+	for _, t := range w.Usable("", now) {
+		if t.Name() == name {
+			return t, true
+		}
+	}
+
+	return fleet.Target{}, false
+}
+
+// fleetOf starts daemons before one target with some slots.
+func fleetOf(t *testing.T, daemons, count int) (*network, []*daemon) {
+	t.Helper()
+
+	n := &network{daemons: map[string]*daemon{}, down: map[string]bool{}, lost: map[string]int{}}
+	w := &workers{list: []fleet.Target{fleet.NewTarget("t", "10.0.0.1:80", "a", "s", count)}}
+
+	ctx, stop := context.WithCancel(context.Background())
+
+	var (
+		l  []*daemon
+		wg sync.WaitGroup
+	)
+
+	for i := range daemons {
+		d := &daemon{network: n, failed: map[string]bool{}, self: mesh.Peer{VM: fmt.Sprint("vm", i), Address: fmt.Sprint("vm", i), Start: 1}}
+		d.owner = slots.NewOwner(n, w, d.self.Address)
+		d.holder = slots.NewHolder(d, n, d.owner, w)
+		l = append(l, d)
+		n.daemons[d.self.Address] = d
+	}
+
+	for _, d := range l {
+		wg.Go(func() { _ = d.owner.Run(ctx) })
+		wg.Go(func() { _ = d.holder.Run(ctx) })
+	}
+
+	t.Cleanup(func() { stop(); wg.Wait() })
+
+	return n, l
+}
+
+type table struct{}
+
+var routes = routing.NewTable(1, []routing.Route{
+	routing.New(routing.Spec{Name: "o", Host: "h", Prefix: "/o/", Kind: routing.Streaming, Objective: 2 * time.Second, Timeout: 5 * time.Second, Attempts: 1, Backends: []routing.Backend{routing.NewBackend("s", 1)}}),
+	routing.New(routing.Spec{Name: "b", Host: "h", Prefix: "/b/", Kind: routing.Batch, Attempts: 3, Backends: []routing.Backend{routing.NewBackend("s", 1)}}),
+}, routing.Limits{}, nil)
+
+func (table) Table() *routing.Table { return routes }
+
+// target answers requests after some time, and counts those that run at once.
+type target struct {
+	time time.Duration
+
+	mu   sync.Mutex
+	now  int
+	most int
+}
+
+func (g *target) Handle(ctx context.Context, r *filter.Request, s filter.Sink) error {
+	g.mu.Lock()
+	g.now++
+	g.most = max(g.most, g.now)
+	g.mu.Unlock()
+
+	defer func() {
+		g.mu.Lock()
+		g.now--
+		g.mu.Unlock()
+	}()
+
+	r.MarkSent()
+
+	select {
+	case <-time.After(g.time):
+	case <-ctx.Done():
+		return outcome.New(outcome.Cancelled, outcome.Unknown, "ended")
+	}
+
+	return errors.Join(s.Emit(filter.NewHead(r.ID(), 200, "")), s.Emit(filter.NewChunk(r.ID(), 1, nil, "x")), s.Emit(filter.NewEnd(r.ID(), "", 0, 0)))
+}
+
+func (g *target) running() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.now
+}
+
+func drop(filter.Event) error { return nil }
+
+func (d *daemon) online(g *target, id string) error {
+	q := filter.NewRequest(filter.Input{ID: id, Path: "/o/", Arrived: time.Now(), Timeout: 5 * time.Second, Call: filter.NewCall("POST", "h", "/o/", nil)})
+
+	return filter.RoutedChain(table{}, d.holder, time.Now, nil, g).Handle(context.Background(), q, filter.SinkFunc(drop))
+}
+
+func (d *daemon) item(ctx context.Context, g *target, id string) error {
+	route, _ := routes.Match("h", "/b/")
+	q := filter.NewItemRequest(filter.Input{ID: id, Path: "/b/", Arrived: time.Now(), Call: filter.NewCall("POST", "h", "/b/", nil)}, route, time.Now().Add(18*time.Second), time.Now().Add(time.Minute))
+
+	return filter.ItemChain(d.holder, time.Now, nil, g).Handle(ctx, q, filter.SinkFunc(drop))
+}
+
+// Guards against more requests at a target than it has slots when several daemons use it, and against requests that are
+// neither served nor refused as not run. The first requests are taken to last a second, so that some are refused.
+func TestSlotsAreShared(t *testing.T) {
+	_, l := fleetOf(t, 3, 2)
+	g := &target{time: 60 * time.Millisecond}
+
+	Convey("Requests of all daemons together never exceed the slots, and each is served or refused", t, func() {
+		var wg sync.WaitGroup
+
+		errs := make([]error, 24)
+		for i := range errs {
+			wg.Go(func() { errs[i] = l[i%3].online(g, fmt.Sprint("r", i)) })
+		}
+
+		wg.Wait()
+
+		served := 0
+
+		for _, err := range errs {
+			if err == nil {
+				served++
+
+				continue
+			}
+
+			So(outcome.Is(err, outcome.Overloaded), ShouldBeTrue)
+			So(outcome.From(err).Effect(), ShouldEqual, outcome.NotRun)
+		}
+
+		So(served, ShouldBeGreaterThanOrEqualTo, 4)
+		So(g.most, ShouldEqual, 2)
+	})
+}
+
+// Guards against requests that fail as the daemon that hands out the slots is lost, and against a new one that hands out
+// slots that are in use.
+func TestOwnerIsLost(t *testing.T) {
+	n, l := fleetOf(t, 3, 2)
+	g := &target{time: 600 * time.Millisecond}
+
+	Convey("When the owner is lost while a request runs, the next one goes on with the slots that are left", t, func() {
+		first := make(chan error, 1)
+		go func() { first <- l[1].online(g, "first") }()
+
+		time.Sleep(300 * time.Millisecond) // the first request is reported to the next owner
+		n.setDown("vm0", true)
+
+		began := time.Now()
+
+		var wg sync.WaitGroup
+
+		errs := make([]error, 2)
+		for i := range errs {
+			wg.Go(func() { errs[i] = l[1+i].online(g, fmt.Sprint("r", i)) })
+		}
+
+		wg.Wait()
+		So(errs, ShouldResemble, []error{nil, nil})
+		So(<-first, ShouldBeNil)
+		So(time.Since(began), ShouldBeLessThan, 2*time.Second)
+		So(g.most, ShouldEqual, 2)
+	})
+}
+
+// Guards against online requests that wait behind batch items, and items that are never given back their slot.
+func TestItemsYield(t *testing.T) {
+	_, l := fleetOf(t, 2, 1)
+	items, online := &target{time: 10 * time.Second}, &target{time: 20 * time.Millisecond}
+
+	Convey("When an item of one daemon has the only slot, an online request of another one gets it at once", t, func() {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+
+		ended := make(chan error, 1)
+		go func() { ended <- l[1].item(ctx, items, "item") }()
+
+		for range 200 {
+			if items.running() == 1 {
+				break
+			}
+
+			time.Sleep(5 * time.Millisecond)
+		}
+
+		began := time.Now()
+		So(l[0].online(online, "r"), ShouldBeNil)
+		So(time.Since(began), ShouldBeLessThan, 500*time.Millisecond)
+		So(filter.Yielded(<-ended), ShouldBeTrue)
+
+		go func() { ended <- l[1].item(ctx, items, "item") }()
+
+		again := false
+		for range 200 {
+			if again = items.running() == 1; again {
+				break
+			}
+
+			time.Sleep(5 * time.Millisecond)
+		}
+
+		So(again, ShouldBeTrue)
+	})
+}
+
+// Guards against a slot that nobody uses as the notice of its grant was lost.
+func TestLostNotice(t *testing.T) {
+	n, l := fleetOf(t, 2, 1)
+	g := &target{time: 50 * time.Millisecond}
+
+	Convey("A request whose grant was lost on the way asks again and gets the same slot", t, func() {
+		first := make(chan error, 1)
+		go func() { first <- l[0].online(&target{time: 200 * time.Millisecond}, "first") }()
+
+		time.Sleep(50 * time.Millisecond)
+		n.lose("vm1", 1)
+
+		began := time.Now()
+		So(l[1].online(g, "second"), ShouldBeNil)
+		So(<-first, ShouldBeNil)
+		So(time.Since(began), ShouldBeBetween, 300*time.Millisecond, 1500*time.Millisecond)
+	})
+}
--- a/soak/request.go
+++ b/soak/request.go
@@ -229,23 +229,14 @@
 
 // finish checks the runs that the workers saw, and that all daemons serve again.
 func (x *callers) finish(ctx context.Context) {
-	for n, d := range x.world.daemons {
-		c := newClient()
-		served := 0
-
-		for range recoveryRequests {
-			if x.request(ctx, c, rand.New(rand.NewPCG(uint64(n), 0)), n) { //nolint:gosec // any route
-				served++
-			}
-		}
-
-		c.CloseIdleConnections()
+	var wg sync.WaitGroup
 
-		if served < recoveryRequests*3/4 {
-			x.ledger.Break(Recovered, d.vm, fmt.Sprintf("%d of %d requests are served after all faults", served, recoveryRequests))
-		}
+	for n := range x.world.daemons {
+		wg.Go(func() { x.recovered(ctx, n) })
 	}
 
+	wg.Wait()
+
 	times := map[string]int{}
 
 	for _, t := range x.world.targets {
@@ -268,5 +259,24 @@
 	}
 }
 
+// recovered checks that a daemon serves.
+func (x *callers) recovered(ctx context.Context, n int) {
+	c := newClient()
+	defer c.CloseIdleConnections()
+
+	r := rand.New(rand.NewPCG(uint64(n), 0)) //nolint:gosec // any routes
+	served := 0
+
+	for range recoveryRequests {
+		if x.request(ctx, c, r, n) {
+			served++
+		}
+	}
+
+	if served < recoveryRequests*3/4 {
+		x.ledger.Break(Recovered, x.world.daemons[n].vm, fmt.Sprintf("%d of %d requests are served after all faults", served, recoveryRequests))
+	}
+}
+
 // recoveryRequests is the number of requests that each daemon gets after all faults.
 const recoveryRequests = 8
