--- a/batches/writer.go
+++ b/batches/writer.go
@@ -254,7 +254,12 @@
 	}
 
 	if err != nil {
-		w.logger.Info().Str("event", "append_failed").Err(err).Int("part", w.number).Int64("at", at).Int("changes", len(used)).
+		e := w.logger.Info()
+		if errors.Is(err, stream.ErrMoved) {
+			e = w.logger.Debug() // another daemon appended first, which says nothing about the log
+		}
+
+		e.Str("event", "append_failed").Err(err).Int("part", w.number).Int64("at", at).Int("changes", len(used)).
 			Msg("an append to the log failed")
 
 		return err
