Stay ready while one more partition is loaded, and take its calls elsewhere meanwhile

A daemon that is cut off from the store and from others becomes a follower of more partitions; it could not load them, was not ready for that reason, and held calls about their jobs until their time was over.

Change: readiness asks for the partitions of the start only; calls go to daemons that have the partition. TestPartitionThatCannotBeLoaded fails on the sources of before.

--- a/batches/batches.go
+++ b/batches/batches.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -51,6 +52,7 @@
 	logger  zerolog.Logger
 	shards  []followed
 	settled chan struct{} // closed once it is decided which partitions are followed
+	ready   atomic.Bool   // all partitions were loaded once
 	changed chan struct{} // has a value when a job changed
 }
 
@@ -68,8 +70,13 @@
 	}
 }
 
-// Loaded reports whether all partitions that this daemon follows are loaded.
+// Loaded reports whether all partitions that this daemon followed at its start are loaded. Those that it follows later are
+// served by other daemons until they are loaded.
 func (b *Batches) Loaded() bool {
+	if b.ready.Load() {
+		return true
+	}
+
 	select {
 	case <-b.settled:
 	default:
@@ -82,6 +89,8 @@
 		}
 	}
 
+	b.ready.Store(true)
+
 	return true
 }
 
@@ -114,6 +123,13 @@
 // Follows reports whether this daemon follows the partition of a job.
 func (b *Batches) Follows(job string) bool { return b.copy(b.Partition(job)) != nil }
 
+// serves reports whether this daemon has loaded the partition of a job.
+func (b *Batches) serves(job string) bool {
+	p := b.copy(b.Partition(job))
+
+	return p != nil && p.follower.Loaded()
+}
+
 // partition returns the loaded copy of a job's partition.
 func (b *Batches) partition(ctx context.Context, job string) (*partition, error) {
 	select {
--- a/batches/gateway.go
+++ b/batches/gateway.go
@@ -28,7 +28,7 @@
 	mostRemotes = 4
 )
 
-// Gateway takes the calls of callers to a daemon that follows the partition of their job: this one if it does.
+// Gateway takes the calls of callers to a daemon that has the partition of their job: this one if it does.
 type Gateway struct {
 	batches  *Batches
 	near     Near
@@ -44,73 +44,89 @@
 
 // Submit accepts a job, like Batches.Submit.
 func (g *Gateway) Submit(ctx context.Context, s batch.Submission) error {
-	if g.batches.Follows(s.ID()) {
-		return g.batches.Submit(ctx, s)
-	}
-
 	var a ErrorMessage
 
-	return g.call(ctx, "Jobs.Submit", s.ID(), 0, submitMessage(s), &a, func() ErrorMessage { return a })
+	return g.call(ctx, s.ID(), remote{
+		method: "Jobs.Submit", request: submitMessage(s), reply: &a, result: func() ErrorMessage { return a },
+	}, func() error { return g.batches.Submit(ctx, s) })
 }
 
 // Results returns the results of a job, like Batches.Results.
 func (g *Gateway) Results(ctx context.Context, id string, after, most int, wait time.Duration) (Page, error) {
-	if g.batches.Follows(id) {
-		return g.batches.Results(ctx, id, after, most, wait)
-	}
+	var (
+		a PageMessage
+		p Page
+	)
 
-	var a PageMessage
+	err := g.call(ctx, id, remote{
+		method: "Jobs.Results", request: ReadMessage{Job: id, After: after, Most: most, WaitMS: wait.Milliseconds()}, wait: wait,
+		reply: &a, result: func() ErrorMessage { p = a.page(); return a.Error },
+	}, func() (err error) {
+		p, err = g.batches.Results(ctx, id, after, most, wait)
 
-	q := ReadMessage{Job: id, After: after, Most: most, WaitMS: wait.Milliseconds()}
-	err := g.call(ctx, "Jobs.Results", id, wait, q, &a, func() ErrorMessage { return a.Error })
+		return err
+	})
 
-	return a.page(), err
+	return p, err
 }
 
 // Body returns the body of an item, like Batches.Body.
 func (g *Gateway) Body(ctx context.Context, id, item string) ([]byte, error) {
-	if g.batches.Follows(id) {
-		return g.batches.Body(ctx, id, item)
-	}
+	var (
+		a BodyMessage
+		b []byte
+	)
 
-	var a BodyMessage
+	err := g.call(ctx, id, remote{
+		method: "Jobs.Body", request: ItemMessage{Job: id, Item: item}, reply: &a,
+		result: func() ErrorMessage { b = a.Body; return a.Error },
+	}, func() (err error) {
+		b, err = g.batches.Body(ctx, id, item)
 
-	err := g.call(ctx, "Jobs.Body", id, 0, ItemMessage{Job: id, Item: item}, &a, func() ErrorMessage { return a.Error })
+		return err
+	})
 
-	return a.Body, err
+	return b, err
 }
 
 // End ends a job, like Batches.End.
 func (g *Gateway) End(ctx context.Context, id string) error {
-	if g.batches.Follows(id) {
-		return g.batches.End(ctx, id)
-	}
-
 	var a ErrorMessage
 
-	return g.call(ctx, "Jobs.End", id, 0, ItemMessage{Job: id}, &a, func() ErrorMessage { return a })
+	return g.call(ctx, id, remote{
+		method: "Jobs.End", request: ItemMessage{Job: id}, reply: &a, result: func() ErrorMessage { return a },
+	}, func() error { return g.batches.End(ctx, id) })
+}
+
+// remote is a call as it is made at another daemon.
+type remote struct {
+	method         string
+	request, reply any
+	wait           time.Duration // of the call itself
+	result         func() ErrorMessage
 }
 
-// call takes a call to the daemons that follow the partition of a job, in turn, until one decides about it. All these
-// calls may be repeated. The error has the effect NotRun only if none of the daemons may have done anything.
-func (g *Gateway) call(ctx context.Context, method, id string, wait time.Duration, q, a any, result func() ErrorMessage) error {
+// call makes a call about a job here once this daemon has the partition, and else at the daemons that follow it, in turn,
+// until one decides about it. All these calls may be repeated. The error has the effect NotRun only if none of the daemons
+// may have done anything.
+func (g *Gateway) call(ctx context.Context, id string, r remote, local func() error) error {
 	effect := outcome.NotRun
 	err := notReady()
 
 	l := g.near.Nearest(g.batches.Partition(id), id, time.Now())
 
 	for _, p := range l[:min(mostRemotes, len(l))] {
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || g.batches.serves(id) {
 			break
 		}
 
-		x, stop := context.WithTimeout(ctx, wait+remoteWithin)
-		e := g.caller.Call(x, p.Address, method, q, a)
+		x, stop := context.WithTimeout(ctx, r.wait+remoteWithin)
+		e := g.caller.Call(x, p.Address, r.method, r.request, r.reply)
 
 		stop()
 
 		if e == nil {
-			e = result().err()
+			e = r.result().err()
 			if e == nil || !outcome.Is(e, outcome.NotReady) {
 				return withEffect(e, effect)
 			}
@@ -122,12 +138,16 @@
 			effect = outcome.Unknown
 		}
 
-		g.logger.Info().Str("event", "job_call_failed").Str("job", id).Str("method", method).Str("peer", p.VM).Err(e).
+		g.logger.Info().Str("event", "job_call_failed").Str("job", id).Str("method", r.method).Str("peer", p.VM).Err(e).
 			Msg("a daemon that follows the partition did not serve the call")
 
 		err = e
 	}
 
+	if ctx.Err() == nil && g.batches.Follows(id) {
+		err = local()
+	}
+
 	return withEffect(err, effect)
 }
 
--- a/batches/gateway_test.go
+++ b/batches/gateway_test.go
@@ -155,6 +155,51 @@
 	})
 }
 
+// Guards against a daemon that is taken out of service, or holds its callers up, as it is to follow one more partition and
+// cannot load it.
+func TestPartitionThatCannotBeLoaded(t *testing.T) {
+	l := newMemory()
+	a := start(l, 0)
+
+	defer a.end()
+
+	ctx, stop := background()
+	defer stop()
+
+	s := &some{}
+	cut := newMemory()
+	b := batches.New(cut, sizes, batch.NewRunner("cut", 1), time.Now, zerolog.Nop())
+
+	x, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+
+		_ = batches.NewAssigner(b, s, s, zerolog.Nop()).Run(x)
+	}()
+
+	defer func() { cancel(); <-done }()
+
+	Convey("It stays ready, and takes calls to a daemon that has the partition", t, func() {
+		So(eventually(b.Loaded), ShouldBeTrue)
+
+		cut.setDown(true)
+		s.set(true, false)
+		So(eventually(func() bool { return b.Follows("j") }), ShouldBeTrue)
+		So(b.Loaded(), ShouldBeTrue)
+
+		g := batches.NewGateway(b, &nearby{vms: []string{"a"}}, &nearby{}, &network{services: map[string]*batches.Service{"a": batches.NewService(a.Batches)}}, zerolog.Nop())
+		began := time.Now()
+		So(g.Submit(ctx, job("j", 1)), ShouldBeNil)
+
+		p, err := g.Results(ctx, "j", 0, mostBytes, 0)
+		So(err, ShouldBeNil)
+		So(p.Total(), ShouldEqual, 1)
+		So(time.Since(began), ShouldBeLessThan, time.Second)
+	})
+}
+
 // some follows a partition or not, as a test sets it.
 type some struct {
 	mu      sync.Mutex
