--- a/soak/inject.go
+++ b/soak/inject.go
@@ -90,7 +90,7 @@
 	case Kill, Pause, Stop, Reload, KillMany:
 		return j.signals(f, wait)
 	case Configure:
-		w.configure()
+		return w.configure()
 	case StoreLinkCut:
 		w.daemons[f.index].store.SetCut(true)
 		wait()
@@ -108,13 +108,13 @@
 		wait()
 		j.storeFault(f, false)
 	default:
-		j.targetFault(f, wait)
+		return j.targetFault(f, wait)
 	}
 
 	return nil
 }
 
-func (j *injector) targetFault(f Fault, wait func()) {
+func (j *injector) targetFault(f Fault, wait func()) error {
 	t := j.world.targets[f.index]
 
 	switch f.kind {
@@ -135,10 +135,16 @@
 		wait()
 		t.worker.SetFaults(worker.Faults{})
 	case WorkerLeaves:
-		j.world.setState(f.index, "draining")
+		if err := j.world.setState(f.index, "draining"); err != nil {
+			return err
+		}
+
 		wait()
-		j.world.setState(f.index, "ready")
+
+		return j.world.setState(f.index, "ready")
 	}
+
+	return nil
 }
 
 // storeFault begins or ends a fault of the store beside the others that last.
--- a/soak/jobs.go
+++ b/soak/jobs.go
@@ -1,9 +1,7 @@
 package soak
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -11,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/agategap/agategap/standin/caller"
 	"github.com/agategap/agategap/standin/worker"
 )
 
@@ -35,23 +34,11 @@
 type job struct {
 	id       string
 	items    int
-	accepted time.Time // zero when no daemon confirmed it
-	refused  bool      // every answer promised that no part of it runs
-	ended    time.Time // confirmation of its end
-	asked    bool      // its end was asked for
-	listed   []result  // by position, as they were read first
-}
-
-type result struct {
-	ID    string `json:"id"`
-	State string `json:"state"`
-	Text  string `json:"text"`
-}
-
-type page struct {
-	Total   int      `json:"total"`
-	Next    int      `json:"next"`
-	Results []result `json:"results"`
+	accepted time.Time       // zero when no daemon confirmed it
+	refused  bool            // every answer promised that no part of it runs
+	ended    time.Time       // confirmation of its end
+	asked    bool            // its end was asked for
+	listed   []caller.Result // by position, as they were read first
 }
 
 // submitters submit, read and end jobs.
@@ -98,38 +85,22 @@
 	return x.jobs[r.IntN(len(x.jobs))]
 }
 
-func (j *job) body() string {
-	l := make([]map[string]any, j.items)
-	for i := range l {
-		l[i] = map[string]any{
-			"id": fmt.Sprint(j.id, ".", i), "path": "/batch/x", "headers": map[string]string{"Model": "m"},
-			"body": []byte("body"), "tokens": 1,
-		}
-	}
-
-	var b bytes.Buffer
-
-	_ = json.NewEncoder(&b).Encode(map[string]any{"items": l}) // the buffer takes everything
-
-	return b.String()
-}
-
 // submit takes a job to daemons until one accepts it.
 func (x *submitters) submit(ctx context.Context, r *rand.Rand, j *job) {
-	c := newClient()
-	defer c.CloseIdleConnections()
+	c := caller.New(host, requestLimit)
+	defer c.Close()
 
 	refused := true
 
 	for range submitTries {
-		a := call(ctx, c, http.MethodPost, x.world.daemons[r.IntN(len(x.world.daemons))].caller, "/batch/x", j.id, j.body())
+		a := c.Submit(ctx, x.world.daemons[r.IntN(len(x.world.daemons))].caller, "/batch/x", j.id, j.items)
 		if ctx.Err() != nil {
 			return
 		}
 
-		x.ledger.Count(fmt.Sprint("job ", a.status))
+		x.ledger.Count(fmt.Sprint("job ", a.Status()))
 
-		if a.status == http.StatusAccepted {
+		if a.Status() == http.StatusAccepted {
 			x.mu.Lock()
 			j.accepted = time.Now()
 			x.mu.Unlock()
@@ -137,7 +108,7 @@
 			return
 		}
 
-		refused = refused && (a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests)
+		refused = refused && (a.Status() == http.StatusServiceUnavailable || a.Status() == http.StatusTooManyRequests)
 	}
 
 	x.mu.Lock()
@@ -147,8 +118,8 @@
 
 // end ends a job.
 func (x *submitters) end(ctx context.Context, r *rand.Rand, j *job) {
-	c := newClient()
-	defer c.CloseIdleConnections()
+	c := caller.New(host, requestLimit)
+	defer c.Close()
 
 	x.mu.Lock()
 	accepted := !j.accepted.IsZero()
@@ -160,8 +131,8 @@
 			return
 		}
 
-		a := call(ctx, c, http.MethodDelete, x.world.daemons[r.IntN(len(x.world.daemons))].caller, "/lots/"+j.id, "", "")
-		if a.status == http.StatusOK {
+		a := c.End(ctx, x.world.daemons[r.IntN(len(x.world.daemons))].caller, j.id)
+		if a.Status() == http.StatusOK {
 			x.ledger.Count("job ended")
 
 			x.mu.Lock()
@@ -176,8 +147,8 @@
 // read reads a job from the start at a daemon and compares it with what was read before. It returns the number of results
 // that the daemon listed; -1 when it gave none.
 func (x *submitters) read(ctx context.Context, n int, j *job) int {
-	c := newClient()
-	defer c.CloseIdleConnections()
+	c := caller.New(host, requestLimit)
+	defer c.Close()
 
 	d := x.world.daemons[n]
 
@@ -190,21 +161,18 @@
 	}
 
 	began := time.Now()
-	a := call(ctx, c, http.MethodGet, d.caller, "/lots/"+j.id, "", "")
+	p, a, err := c.Read(ctx, d.caller, j.id)
 
 	switch {
-	case a.status == http.StatusNotFound && began.Sub(accepted) > settle:
+	case a.Status() == http.StatusNotFound && began.Sub(accepted) > settle:
 		x.ledger.Break(Readable, j.id, d.vm+" does not find the job")
 
 		return -1
-	case a.status != http.StatusOK || !a.whole:
-		return -1
-	}
-
-	var p page
-	if err := json.Unmarshal([]byte(a.body), &p); err != nil {
+	case err != nil:
 		x.ledger.Break(Whole, j.id, d.vm+": "+err.Error())
 
+		return -1
+	case a.Status() != http.StatusOK || !a.Whole():
 		return -1
 	}
 
@@ -214,7 +182,7 @@
 }
 
 // compare checks a list of results. before is the number of results that had been read when it was asked for.
-func (x *submitters) compare(j *job, vm string, p page, before int) {
+func (x *submitters) compare(j *job, vm string, p caller.Page, before int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 
@@ -237,7 +205,7 @@
 
 		if i < len(j.listed) {
 			if j.listed[i] != r {
-				x.ledger.Break(Listed, j.id, fmt.Sprintf("%s lists another result at position %d", vm, i))
+				x.ledger.Break(Listed, j.id, fmt.Sprintf("%s lists another caller.Result at position %d", vm, i))
 			}
 
 			continue
@@ -248,13 +216,13 @@
 	}
 }
 
-func (x *submitters) checkResult(j *job, vm string, r result) {
+func (x *submitters) checkResult(j *job, vm string, r caller.Result) {
 	switch {
 	case !strings.HasPrefix(r.ID, j.id+"."):
 		x.ledger.Break(Listed, j.id, fmt.Sprintf("%s lists item %s of another job", vm, r.ID))
-	case r.State == "completed" && r.Text != worker.Text(r.ID, events):
+	case r.Completed() && r.Text != worker.Text(r.ID, events):
 		x.ledger.Break(Listed, j.id, fmt.Sprintf("%s: the text of item %s is not the whole output", vm, r.ID))
-	case r.State != "completed" && !j.asked:
+	case !r.Completed() && !j.asked:
 		x.ledger.Break(Listed, j.id, fmt.Sprintf("%s gave up item %s, which can be done", vm, r.ID))
 	}
 }
--- a/soak/request.go
+++ b/soak/request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -11,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/agategap/agategap/standin/caller"
 	"github.com/agategap/agategap/standin/worker"
 )
 
@@ -54,46 +54,10 @@
 	return &callers{world: w, injector: j, ledger: l, sent: map[string]bool{}, refused: map[string]bool{}, shown: map[string]shown{}}
 }
 
-// answer is what a caller got.
-type answer struct {
-	status int
-	body   string
-	whole  bool // the answer ended as one that is complete
-}
-
-func newClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: requestLimit}
-}
-
-// call makes one call on a kept connection if there is one.
-func call(ctx context.Context, c *http.Client, method, address, path, id, body string) answer {
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
-	if err != nil {
-		return answer{}
-	}
-
-	r.Host = host
-	r.Header.Set("Deadline-Ms", fmt.Sprint(requestLimit.Milliseconds()))
-
-	if id != "" {
-		r.Header.Set("Request-Id", id)
-	}
-
-	a, err := c.Do(r)
-	if err != nil {
-		return answer{}
-	}
-	defer func() { _ = a.Body.Close() }()
-
-	b, err := io.ReadAll(a.Body)
-
-	return answer{status: a.StatusCode, body: string(b), whole: err == nil}
-}
-
 // run is the life of one caller.
 func (x *callers) run(ctx context.Context, r *rand.Rand) {
-	c := newClient()
-	defer c.CloseIdleConnections()
+	c := caller.New(host, requestLimit)
+	defer c.Close()
 
 	n := r.IntN(len(x.world.daemons))
 
@@ -111,7 +75,7 @@
 }
 
 // request makes one request and reports whether it was served.
-func (x *callers) request(ctx context.Context, c *http.Client, r *rand.Rand, n int) bool {
+func (x *callers) request(ctx context.Context, c *caller.Caller, r *rand.Rand, n int) bool {
 	id := fmt.Sprintf("q%d", x.serial.Add(1))
 	d := x.world.daemons[n]
 
@@ -130,20 +94,20 @@
 	x.mu.Unlock()
 
 	began, run := time.Now(), d.runs()
-	a := call(ctx, c, http.MethodPost, d.caller, path, id, "x")
+	a := c.Request(ctx, d.caller, path, id)
 
 	if ctx.Err() != nil {
 		return false // the soak ends
 	}
 
-	x.ledger.Count(fmt.Sprint("answer ", a.status))
+	x.ledger.Count(fmt.Sprint("answer ", a.Status()))
 	x.check(id, n, began, a)
 
 	if version > 0 {
 		x.checkVersion(n, run, version, began, a)
 	}
 
-	return a.status == http.StatusOK && a.whole
+	return a.Status() == http.StatusOK && a.Whole()
 }
 
 // stream is the whole answer to a request.
@@ -157,41 +121,41 @@
 }
 
 // check checks what an answer promises.
-func (x *callers) check(id string, n int, began time.Time, a answer) {
+func (x *callers) check(id string, n int, began time.Time, a caller.Answer) {
 	d := x.world.daemons[n]
 
 	switch {
-	case a.status == http.StatusOK && a.whole:
-		if want := stream(id); a.body != want {
-			x.ledger.Break(Whole, id, fmt.Sprintf("%s: an answer of %d bytes looks complete; the whole one has %d", d.vm, len(a.body), len(want)))
+	case a.Status() == http.StatusOK && a.Whole():
+		if want := stream(id); string(a.Body()) != want {
+			x.ledger.Break(Whole, id, fmt.Sprintf("%s: an answer of %d bytes looks complete; the whole one has %d", d.vm, len(a.Body()), len(want)))
 		}
 
 		x.mu.Lock()
 		x.served++
 		x.mu.Unlock()
-	case a.status == http.StatusTooManyRequests, a.status == http.StatusServiceUnavailable:
+	case a.Status() == http.StatusTooManyRequests, a.Status() == http.StatusServiceUnavailable:
 		x.mu.Lock()
 		x.refused[id] = true
 		x.mu.Unlock()
-	case a.status == http.StatusOK || a.status == 0:
+	case a.Status() == http.StatusOK || a.Status() == 0:
 		x.checkShutdown(id, n, began, a)
 	}
 }
 
 // checkShutdown checks that a request that was cut off was not cut by the shutdown of its daemon.
-func (x *callers) checkShutdown(id string, n int, began time.Time, a answer) {
+func (x *callers) checkShutdown(id string, n int, began time.Time, a caller.Answer) {
 	now := time.Now()
 	stopped := func(f Fault) bool { return f.kind == Stop && f.index == n }
 	other := func(f Fault) bool {
 		return concernsTargets(f) || f.index == n && (f.kind == Kill || f.kind == Pause)
 	}
 
-	if a.status == 0 && now.Sub(began) < requestLimit && x.world.daemons[n].gone() {
+	if a.Status() == 0 && now.Sub(began) < requestLimit && x.world.daemons[n].gone() {
 		return // no connection: nothing was read
 	}
 
-	if !x.injector.quiet(began, now, stopped) && x.injector.quiet(began.Add(-calm), now, other) && a.status == http.StatusOK {
-		x.ledger.Break(Shutdown, id, fmt.Sprintf("%s cut an answer off at %d bytes while it was stopped", x.world.daemons[n].vm, len(a.body)))
+	if !x.injector.quiet(began, now, stopped) && x.injector.quiet(began.Add(-calm), now, other) && a.Status() == http.StatusOK {
+		x.ledger.Break(Shutdown, id, fmt.Sprintf("%s cut an answer off at %d bytes while it was stopped", x.world.daemons[n].vm, len(a.Body())))
 	}
 }
 
@@ -206,9 +170,9 @@
 }
 
 // checkVersion checks that a version that a daemon has shown stays in force, and that the newest one soon is.
-func (x *callers) checkVersion(n, run, version int, began time.Time, a answer) {
+func (x *callers) checkVersion(n, run, version int, began time.Time, a caller.Answer) {
 	d := x.world.daemons[n]
-	knows := a.status == http.StatusOK || a.status == http.StatusServiceUnavailable && strings.Contains(a.body, "overloaded")
+	knows := a.Status() == http.StatusOK || a.Status() == http.StatusServiceUnavailable && strings.Contains(string(a.Body()), "overloaded")
 
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -218,9 +182,9 @@
 	switch {
 	case knows && run == d.runs() && (s.run != run || version > s.version):
 		x.shown[d.vm] = shown{run: run, version: version, at: time.Now()}
-	case a.status == http.StatusNotFound && s.run == run && d.runs() == run && version <= s.version && began.Sub(s.at) > backWithin:
+	case a.Status() == http.StatusNotFound && s.run == run && d.runs() == run && version <= s.version && began.Sub(s.at) > backWithin:
 		x.ledger.Break(Forward, d.vm, fmt.Sprintf("version %d was shown and is not in force any more", version))
-	case a.status == http.StatusNotFound && x.injector.quiet(began.Add(-calm-applyWithin), time.Now(), func(f Fault) bool {
+	case a.Status() == http.StatusNotFound && x.injector.quiet(began.Add(-calm-applyWithin), time.Now(), func(f Fault) bool {
 		return f.kind == Configure || concernsDaemon(n)(f)
 	}):
 		x.ledger.Break(InForce, d.vm, fmt.Sprintf("version %d is not in force", version))
@@ -261,8 +225,8 @@
 
 // recovered checks that a daemon serves.
 func (x *callers) recovered(ctx context.Context, n int) {
-	c := newClient()
-	defer c.CloseIdleConnections()
+	c := caller.New(host, requestLimit)
+	defer c.Close()
 
 	r := rand.New(rand.NewPCG(uint64(n), 0)) //nolint:gosec // any routes
 	served := 0
--- a/soak/world.go
+++ b/soak/world.go
@@ -26,6 +26,11 @@
 	eventGap = 10 * time.Millisecond
 	slots    = 6
 	queue    = 4
+	// objective is the time to the first event, and the longest pause, that is on time.
+	objective = 600 * time.Millisecond
+	// due and retain are the times after which a job is due and may be given up.
+	due    = 18 * time.Second
+	retain = 2 * time.Minute
 	// readyWithin bounds the start of a daemon. A start takes a few hundred milliseconds.
 	readyWithin = 30 * time.Second
 	// restartDelay is the time before a process that ended on its own or was killed starts again.
@@ -104,7 +109,9 @@
 		}
 	}
 
-	w.configure()
+	if err := w.configure(); err != nil {
+		return w, err
+	}
 
 	for i := range o.Daemons {
 		d, err := w.newDaemon(i, a)
@@ -145,34 +152,31 @@
 	}
 
 	w.targets = append(w.targets, t)
-	w.announce(i)
 
-	return nil
+	return w.announce(i)
 }
 
 // announce writes the entry of a worker.
-func (w *world) announce(i int) {
+func (w *world) announce(i int) error {
 	t := w.targets[i]
 
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	w.store.Put("keyed.servers", t.id, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"born":1,"seq_no":%d}`,
-		service, t.proxy.Address(), domain(i), slots, t.state, time.Now().UnixMilli()))
+	return w.store.PutEntry(t.id, store.Entry{Service: service, Address: t.proxy.Address(), Zone: domain(i), Slots: slots, State: t.state})
 }
 
-func (w *world) setState(i int, state string) {
+func (w *world) setState(i int, state string) error {
 	t := w.targets[i]
 
 	t.mu.Lock()
 	t.state = state
 	t.mu.Unlock()
 
-	w.announce(i)
+	return w.announce(i)
 }
 
-// renew writes the entries of the workers again and again, as they do.
+// renew writes the entries of the workers again and again, as they do. An entry that could be written once always can.
 func (w *world) renew(ctx context.Context) {
 	for {
 		select {
@@ -182,30 +186,43 @@
 		}
 
 		for i := range w.targets {
-			w.announce(i)
+			_ = w.announce(i)
 		}
 	}
 }
 
 // configure publishes the next version, which has one more route than the one before.
-func (w *world) configure() int {
+func (w *world) configure() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
 	w.version++
 
-	routes := ""
+	base := store.Route{
+		Host: host, Kind: "streaming", Service: service, TimeoutMS: requestLimit.Milliseconds(),
+		ObjectiveMS: objective.Milliseconds(), PauseMS: objective.Milliseconds(), Attempts: 2, //nolint:mnd // has no effect where nothing may be repeated
+	}
+
+	var l []store.Route
+
+	add := func(name string, change func(r *store.Route)) {
+		r := base
+		r.Name, r.Prefix = name, "/"+name+"/"
+		change(&r)
+		l = append(l, r)
+	}
+
 	for v := 1; v <= w.version; v++ {
-		routes += fmt.Sprintf(`{"name":"v%d","host":%q,"path_prefix":"/v%d/","kind":"streaming","timeout_ms":5000,"latency_slo_ms":600,"gap_aim_ms":600,"max_attempts":1,"service":%q},`, v, host, v, service)
+		add(fmt.Sprint("v", v), func(*store.Route) {})
 	}
 
-	w.store.Put("keyed.op", "config", fmt.Appendf(nil, `{"version":%d,"routes":[%s
-		{"name":"once","host":%q,"path_prefix":"/once/","kind":"streaming","timeout_ms":5000,"latency_slo_ms":600,"gap_aim_ms":600,"max_attempts":2,"service":%q},
-		{"name":"again","host":%q,"path_prefix":"/again/","kind":"streaming","timeout_ms":5000,"latency_slo_ms":600,"gap_aim_ms":600,"max_attempts":3,"resumable":true,"service":%q},
-		{"name":"batch","host":%q,"path_prefix":"/batch/","kind":"batch","timeout_ms":5000,"latency_slo_ms":600,"max_attempts":3,"service":%q,"run_target_ms":18000,"retention_s":120,"priority":2}],
-		"limits":{"max_body_bytes":4194304}}`, w.version, routes, host, service, host, service, host, service))
+	add("once", func(*store.Route) {})
+	add("again", func(r *store.Route) { r.Resumable, r.Attempts = true, 3 }) //nolint:mnd // several workers
+	add("batch", func(r *store.Route) {
+		r.Kind, r.RunMS, r.RetainS = "batch", due.Milliseconds(), int64(retain.Seconds())
+	})
 
-	return w.version
+	return w.store.PutConfig(w.version, l)
 }
 
 func (w *world) newest() int {
--- /dev/null
+++ b/standin/caller/caller.go
@@ -0,0 +1,133 @@
+// Package caller is a small stand-in for the platform's clients: it makes requests on kept connections, and submits, reads
+// and ends batch jobs.
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Caller makes calls to daemons. Use New.
+type Caller struct {
+	http  *http.Client
+	host  string
+	limit time.Duration
+}
+
+// New returns a caller of the routes of a host, which waits for an answer for some time.
+func New(host string, limit time.Duration) *Caller {
+	return &Caller{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: limit}, host: host, limit: limit}
+}
+
+// Close closes idle connections.
+func (c *Caller) Close() { c.http.CloseIdleConnections() }
+
+// Answer is what a caller got. Its zero value stands for no answer.
+type Answer struct {
+	status int
+	body   []byte
+	whole  bool
+}
+
+// Status returns the HTTP status; 0 when there was no answer.
+func (a Answer) Status() int { return a.status }
+
+// Body returns what came of the body.
+func (a Answer) Body() []byte { return a.body }
+
+// Whole reports whether the answer ended as one that is complete.
+func (a Answer) Whole() bool { return a.whole }
+
+func (c *Caller) call(ctx context.Context, method, url, id string, body []byte) Answer {
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return Answer{}
+	}
+
+	r.Host = c.host
+	r.Header.Set("Deadline-Ms", strconv.FormatInt(c.limit.Milliseconds(), 10))
+
+	if id != "" {
+		r.Header.Set("Request-Id", id)
+	}
+
+	a, err := c.http.Do(r)
+	if err != nil {
+		return Answer{}
+	}
+	defer func() { _ = a.Body.Close() }()
+
+	b, err := io.ReadAll(a.Body)
+
+	return Answer{status: a.StatusCode, body: b, whole: err == nil}
+}
+
+// Request makes a request to a path.
+func (c *Caller) Request(ctx context.Context, address, path, id string) Answer {
+	return c.call(ctx, http.MethodPost, "http://"+address+path, id, []byte("x"))
+}
+
+type item struct {
+	ID      string            `json:"id"`
+	Path    string            `json:"path"`
+	Headers map[string]string `json:"headers"`
+	Body    []byte            `json:"body"`
+	Tokens  int               `json:"tokens"`
+}
+
+// Submit submits a job under a path. Its items are named ID.0, ID.1 and so on.
+func (c *Caller) Submit(ctx context.Context, address, path, id string, items int) Answer {
+	l := make([]item, items)
+	for i := range l {
+		l[i] = item{ID: fmt.Sprint(id, ".", i), Path: path, Headers: map[string]string{"Model": "m"}, Body: []byte("body"), Tokens: 1}
+	}
+
+	b, err := json.Marshal(map[string]any{"items": l})
+	if err != nil {
+		return Answer{}
+	}
+
+	return c.call(ctx, http.MethodPost, "http://"+address+path, id, b)
+}
+
+// Result is a result of an item as a daemon lists it.
+type Result struct {
+	ID    string `json:"id"`
+	State string `json:"state"`
+	Text  string `json:"text"`
+}
+
+// Completed reports whether the item was completed, or else given up.
+func (r Result) Completed() bool { return r.State == "completed" }
+
+// Page is a part of the results of a job.
+type Page struct {
+	Total   int      `json:"total"`
+	Next    int      `json:"next"`
+	Results []Result `json:"results"`
+}
+
+// Read reads the results of a job from the start. The page is empty unless the answer is whole with status 200.
+func (c *Caller) Read(ctx context.Context, address, job string) (Page, Answer, error) {
+	var p Page
+
+	a := c.call(ctx, http.MethodGet, "http://"+address+"/lots/"+job, "", nil)
+	if a.status != http.StatusOK || !a.whole {
+		return p, a, nil
+	}
+
+	err := json.Unmarshal(a.body, &p)
+
+	return p, a, err
+}
+
+// End ends a job.
+func (c *Caller) End(ctx context.Context, address, job string) Answer {
+	return c.call(ctx, http.MethodDelete, "http://"+address+"/lots/"+job, "", nil)
+}
--- /dev/null
+++ b/standin/store/records.go
@@ -0,0 +1,63 @@
+package store
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Route is a route of the configuration that the operator writes. A codec writes the fields.
+type Route struct {
+	Name        string `json:"name"`
+	Host        string `json:"host"`
+	Prefix      string `json:"path_prefix"`
+	Kind        string `json:"kind"`
+	Service     string `json:"service"`
+	TimeoutMS   int64  `json:"timeout_ms"`
+	ObjectiveMS int64  `json:"latency_slo_ms"`
+	PauseMS     int64  `json:"gap_aim_ms"`
+	Attempts    int    `json:"max_attempts"`
+	Resumable   bool   `json:"resumable"`
+	RunMS       int64  `json:"run_target_ms,omitempty"`
+	RetainS     int64  `json:"retention_s,omitempty"`
+}
+
+// mostBody is the bound of bodies in the configurations of the stand-in.
+const mostBody = 4 << 20
+
+// PutConfig writes a version of the configuration, as the operator does.
+func (s *Store) PutConfig(version int, l []Route) error {
+	b, err := json.Marshal(map[string]any{"version": version, "routes": l, "limits": map[string]int{"max_body_bytes": mostBody}})
+	if err != nil {
+		return err
+	}
+
+	s.Put("keyed.op", "config", b)
+
+	return nil
+}
+
+// Entry is the entry of a worker. A codec writes the fields.
+type Entry struct {
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Version string `json:"version"`
+	Slots   int    `json:"slots"`
+	State   string `json:"state"` // ready or draining
+	Born    int64  `json:"born"`
+	Number  int64  `json:"seq_no"`
+}
+
+// PutEntry writes the entry of a worker, as it does itself.
+func (s *Store) PutEntry(id string, e Entry) error {
+	e.Version, e.Born, e.Number = "v1", 1, time.Now().UnixMilli()
+
+	b, err := json.Marshal(e)
+	if err != nil {
+		return err
+	}
+
+	s.Put("keyed.servers", id, b)
+
+	return nil
+}
