Take over the jobs of live daemons that have dropped the partition

Change: heartbeats tell which partitions a daemon follows, and the first choice among the followers takes a job over whose daemon told after its acceptance that it does not. A partition is not dropped while a change of it is under way.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -201,6 +201,9 @@
 // Progress returns how far an item has come that is not listed.
 func (v View) Progress(item string) Progress { return v.saved[item] }
 
+// At returns the time at which the job was accepted.
+func (v View) At() time.Time { return v.at }
+
 // Due returns the time at which all results are due.
 func (v View) Due() time.Time { return v.at.Add(v.within) }
 
--- a/batches/assign.go
+++ b/batches/assign.go
@@ -21,6 +21,11 @@
 	Uses(partition int) bool
 }
 
+// Announcer tells other daemons which partitions this one follows.
+type Announcer interface {
+	Announce(partitions []int)
+}
+
 const (
 	// assignTick is the time between two looks at the shares.
 	assignTick = 200 * time.Millisecond
@@ -34,13 +39,14 @@
 	batches *Batches
 	shares  Shares
 	user    User
+	others  Announcer
 	logger  zerolog.Logger
 }
 
 // NewAssigner returns the controller. Without shares this daemon follows all partitions. A partition that u uses is not
-// dropped.
-func NewAssigner(b *Batches, s Shares, u User, z zerolog.Logger) *Assigner {
-	return &Assigner{batches: b, shares: s, user: u, logger: z}
+// dropped. o is told what is followed, unless it is nil.
+func NewAssigner(b *Batches, s Shares, u User, o Announcer, z zerolog.Logger) *Assigner {
+	return &Assigner{batches: b, shares: s, user: u, others: o, logger: z}
 }
 
 // Run follows partitions until ctx ends.
@@ -49,6 +55,7 @@
 
 	for ctx.Err() == nil {
 		a.pass(ctx, since, time.Now())
+		a.announce()
 
 		select {
 		case <-a.batches.settled:
@@ -69,6 +76,19 @@
 	return nil
 }
 
+func (a *Assigner) announce() {
+	if a.others == nil {
+		return
+	}
+
+	var l []int
+	for _, p := range a.batches.copies() {
+		l = append(l, p.number)
+	}
+
+	a.others.Announce(l)
+}
+
 // pass starts and stops following partitions.
 func (a *Assigner) pass(ctx context.Context, since map[int]time.Time, now time.Time) {
 	for n := range a.batches.shards {
@@ -93,7 +113,7 @@
 			since[n] = now
 		}
 
-		if now.Sub(since[n]) >= dropAfter && !a.user.Uses(n) {
+		if now.Sub(since[n]) >= dropAfter && p.writer.pending.Load() == 0 && !a.user.Uses(n) {
 			a.batches.drop(n)
 			a.logger.Info().Str("event", "partition_dropped").Int("part", n).Msg("other daemons follow a partition of the jobs")
 		}
--- a/batches/gateway_test.go
+++ b/batches/gateway_test.go
@@ -88,7 +88,7 @@
 	go func() {
 		defer close(done)
 
-		_ = batches.NewAssigner(b, nothing{}, nothing{}, zerolog.Nop()).Run(ctx)
+		_ = batches.NewAssigner(b, nothing{}, nothing{}, nil, zerolog.Nop()).Run(ctx)
 	}()
 
 	return b, func() { stop(); <-done }
@@ -176,7 +176,7 @@
 	go func() {
 		defer close(done)
 
-		_ = batches.NewAssigner(b, s, s, zerolog.Nop()).Run(x)
+		_ = batches.NewAssigner(b, s, s, nil, zerolog.Nop()).Run(x)
 	}()
 
 	defer func() { cancel(); <-done }()
@@ -253,7 +253,7 @@
 	go func() {
 		defer close(done)
 
-		_ = batches.NewAssigner(b, s, s, zerolog.Nop()).Run(ctx)
+		_ = batches.NewAssigner(b, s, s, nil, zerolog.Nop()).Run(ctx)
 	}()
 
 	defer func() { stop(); <-done }()
--- a/batches/property_test.go
+++ b/batches/property_test.go
@@ -58,7 +58,7 @@
 		Batches: batches.New(l, sizes, batch.NewRunner(fmt.Sprint("vm", n), 1), time.Now, zerolog.Nop()), stop: stop,
 	}
 
-	d.wg.Go(func() { _ = batches.NewAssigner(d.Batches, nil, nil, zerolog.Nop()).Run(ctx) })
+	d.wg.Go(func() { _ = batches.NewAssigner(d.Batches, nil, nil, nil, zerolog.Nop()).Run(ctx) })
 
 	return d
 }
--- a/batches/runner.go
+++ b/batches/runner.go
@@ -20,6 +20,7 @@
 	Self() mesh.Peer
 	Runners(partition int, job string, now time.Time) []mesh.Peer
 	Alive(vm string, start int64, now time.Time) bool
+	Dropped(vm string, partition int, since time.Time) bool
 }
 
 // Routes has the version of the routes in force.
@@ -35,6 +36,9 @@
 const (
 	// runnerTick is the time between two passes over the jobs, beside those that a change causes.
 	runnerTick = 100 * time.Millisecond
+	// droppedAfter is the time after the acceptance of a job from which its daemon is believed that it does not follow the
+	// partition. Heartbeats are sent a few times a second, and clocks of VMs differ.
+	droppedAfter = 3 * time.Second
 	// runnerPause is the least time between two passes. Partitions change many times a second.
 	runnerPause = 10 * time.Millisecond
 	// mostRunning bounds the items that one daemon runs or has waiting for a slot. The owner of the slots orders them.
@@ -160,8 +164,9 @@
 	}
 }
 
-// mine reports whether this daemon runs a job of a partition: the one that accepted it while it is live, and then the
-// first choice among those that follow the partition.
+// mine reports whether this daemon runs a job of a partition: the one that accepted it while it is live and follows the
+// partition, and then the first choice among those that do. An append that was made late can record a job for a daemon that
+// has dropped the partition meanwhile.
 func (r *Runner) mine(p *partition, v batch.View, now time.Time) bool {
 	self := r.peers.Self()
 
@@ -174,7 +179,7 @@
 		return false
 	case adopted, w.VM() == self.VM && w.Start() == self.Start:
 		return true
-	case r.peers.Alive(w.VM(), w.Start(), now):
+	case r.peers.Alive(w.VM(), w.Start(), now) && !r.peers.Dropped(w.VM(), p.number, v.At().Add(droppedAfter)):
 		return false
 	default:
 		l := r.peers.Runners(p.number, v.ID(), now)
--- a/batches/runner_test.go
+++ b/batches/runner_test.go
@@ -19,10 +19,11 @@
 )
 
 // alone is a daemon that knows another one, which is live or not.
-type alone struct{ other bool }
+type alone struct{ other, dropped bool }
 
 func (a alone) Self() mesh.Peer                            { return mesh.Peer{VM: "self", Start: 1} }
 func (a alone) Runners(int, string, time.Time) []mesh.Peer { return []mesh.Peer{a.Self()} }
+func (a alone) Dropped(string, int, time.Time) bool        { return a.dropped }
 func (a alone) Alive(_ string, _ int64, _ time.Time) bool  { return a.other }
 
 type noCalls struct{}
@@ -179,3 +180,29 @@
 		})
 	})
 }
+
+// Guards against a job that nobody runs, as it was recorded for a live daemon that has dropped the partition. Found by the
+// soak (seed 5012): the append was under way when the partition was dropped.
+func TestRunnerTakesDroppedJobs(t *testing.T) {
+	l := newMemory()
+	d := start(l, 0)
+
+	defer d.end()
+
+	ctx, stop := background()
+	defer stop()
+
+	Convey("A job of a live daemon that does not follow the partition any more runs here", t, func() {
+		other := start(l, 1)
+		So(other.Submit(ctx, job("k", 1)), ShouldBeNil)
+		other.end()
+
+		_, end := runner(d, &engine{events: 3, gap: time.Millisecond}, alone{other: true, dropped: true})
+		defer end()
+
+		p, err := d.Results(ctx, "k", 0, mostBytes, 4*time.Second)
+		So(err, ShouldBeNil)
+		So(p.Results(), ShouldHaveLength, 1)
+		So(p.Results()[0].Text(), ShouldEqual, texts(1, 3))
+	})
+}
--- a/batches/writer.go
+++ b/batches/writer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -46,6 +47,7 @@
 	logger    zerolog.Logger
 	queue     chan *change
 	ended     chan struct{} // closed when no change is taken any more
+	pending   atomic.Int64  // changes whose callers wait
 }
 
 func newWriter(l keyed.Log, number int, p *partition, s Sizes, z zerolog.Logger) *writer {
@@ -125,6 +127,9 @@
 // change queues a change and waits until it is in the log. An error with the effect NotRun means that it is not in the
 // log and never will be.
 func (w *writer) change(ctx context.Context, build func(*batch.Listing) ([]stream.Keyed, error)) error {
+	w.pending.Add(1)
+	defer w.pending.Add(-1)
+
 	c := &change{ctx: ctx, build: build, done: make(chan error, 1)}
 
 	select {
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -133,7 +133,7 @@
 	members := d.follow(memberStream, &memberSink{table: table, logger: d.logger})
 	actor(&d.group, members.Run)
 
-	assigner := batches.NewAssigner(d.batches, followers, d.runner, d.logger)
+	assigner := batches.NewAssigner(d.batches, followers, d.runner, table, d.logger)
 	actor(&d.group, func(ctx context.Context) error {
 		select {
 		case <-members.Ready(): // the shares depend on the other daemons
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -12,7 +12,9 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{5012, "a job was recorded for a live daemon that had dropped its partition a moment before, and nobody ran it"},
+}
 
 // Guards against promises that are broken under faults that overlap and come in series.
 func TestSoak(t *testing.T) {
--- a/mesh/share.go
+++ b/mesh/share.go
@@ -53,3 +53,28 @@
 
 	return s.heard.IsZero() && now.Sub(s.added) <= settleAfter
 }
+
+// Announce records which partitions this daemon follows, to be told with its heartbeats.
+func (t *Table) Announce(partitions []int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.self.Parts = 0
+	for _, n := range partitions {
+		t.self.Parts |= partBit(n)
+	}
+}
+
+func partBit(n int) uint64 { return 1 << (n % 64) } //nolint:mnd // bits of the field
+
+// Dropped reports whether a daemon has told after a time that it does not follow a partition.
+func (t *Table) Dropped(vm string, partition int, since time.Time) bool {
+	h := t.shard(vm)
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	s, ok := h.peers[vm]
+
+	return ok && s.heard.After(since) && s.peer.Parts&partBit(partition) == 0
+}
--- a/mesh/share_test.go
+++ b/mesh/share_test.go
@@ -58,6 +58,23 @@
 		})
 	})
 
+	Convey("A daemon is believed that it does not follow a partition once it tells so after a time", t, func() {
+		x := mesh.New(peer("self", 1))
+		x.Learn(peer("b", 1), at(0))
+		So(x.Dropped("b", 3, at(0)), ShouldBeFalse)
+
+		p := peer("b", 1)
+		p.Parts = 1 << 3
+		x.Heard(p, at(100))
+		So(x.Dropped("b", 3, at(0)), ShouldBeFalse)
+		So(x.Dropped("b", 4, at(0)), ShouldBeTrue)
+		So(x.Dropped("b", 4, at(200)), ShouldBeFalse)
+		So(x.Dropped("unknown", 4, at(0)), ShouldBeFalse)
+
+		x.Announce([]int{0, 3})
+		So(x.Self().Parts, ShouldEqual, 9)
+	})
+
 	Convey("A daemon that is alone has every share, also when it is leaving", t, func() {
 		x := mesh.New(peer("self", 1))
 		So(vms(x.Share("duty", 3, at(0))), ShouldResemble, []string{"self"})
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -41,6 +41,7 @@
 	Power   int    `msgpack:"power"`   // processor time of the VM, in thousandths of a core
 	Start   int64  `msgpack:"start"`   // start of the process, Unix milliseconds; tells incarnations apart
 	Leaving bool   `msgpack:"leaving"` // the daemon is shutting down
+	Parts   uint64 `msgpack:"parts"`   // partitions that the daemon follows, as bits; those above 63 begin again at 0
 }
 
 // Table is what one daemon knows of the others. It is safe for concurrent use.
@@ -155,6 +156,7 @@
 		}
 
 		s.heard, s.failed = now, false
+		s.peer.Parts = p.Parts
 		s.peer.Leaving = s.peer.Leaving || p.Leaving
 	}
 }
