Give each call to another daemon a reply of its own

Cause (by reading the change): the gateway used one reply for the calls to several daemons. The answer of a call that was given up can still be decoded later, into the reply of the call that decided: results of a job could be mixed. The demand of a slot read its reply after a call had been given up.

Change: a new reply for each daemon, and none is read after an error. The request is encoded only once a call leaves this daemon; a job served here made a copy of itself before. TestLateAnswers got 99 items instead of 2 on the sources of before.

--- a/batches/gateway.go
+++ b/batches/gateway.go
@@ -44,75 +44,86 @@
 
 // Submit accepts a job, like Batches.Submit.
 func (g *Gateway) Submit(ctx context.Context, s batch.Submission) error {
-	var a ErrorMessage
-
-	return g.call(ctx, s.ID(), remote{
-		method: "Jobs.Submit", request: submitMessage(s), reply: &a, result: func() ErrorMessage { return a },
+	_, err := g.call(ctx, s.ID(), remote{
+		method: "Jobs.Submit", request: func() any { return submitMessage(s) }, reply: func() reply { return &ErrorMessage{} },
 	}, func() error { return g.batches.Submit(ctx, s) })
+
+	return err
 }
 
 // Results returns the results of a job, like Batches.Results.
 func (g *Gateway) Results(ctx context.Context, id string, after, most int, wait time.Duration) (Page, error) {
-	var (
-		a PageMessage
-		p Page
-	)
-
-	err := g.call(ctx, id, remote{
-		method: "Jobs.Results", request: ReadMessage{Job: id, After: after, Most: most, WaitMS: wait.Milliseconds()}, wait: wait,
-		reply: &a, result: func() ErrorMessage { p = a.page(); return a.Error },
+	var p Page
+
+	a, err := g.call(ctx, id, remote{
+		method: "Jobs.Results", wait: wait, reply: func() reply { return &PageMessage{} },
+		request: func() any { return ReadMessage{Job: id, After: after, Most: most, WaitMS: wait.Milliseconds()} },
 	}, func() (err error) {
 		p, err = g.batches.Results(ctx, id, after, most, wait)
 
 		return err
 	})
 
+	if m, ok := a.(*PageMessage); ok {
+		p = m.page()
+	}
+
 	return p, err
 }
 
 // Body returns the body of an item, like Batches.Body.
 func (g *Gateway) Body(ctx context.Context, id, item string) ([]byte, error) {
-	var (
-		a BodyMessage
-		b []byte
-	)
-
-	err := g.call(ctx, id, remote{
-		method: "Jobs.Body", request: ItemMessage{Job: id, Item: item}, reply: &a,
-		result: func() ErrorMessage { b = a.Body; return a.Error },
+	var b []byte
+
+	a, err := g.call(ctx, id, remote{
+		method: "Jobs.Body", request: func() any { return ItemMessage{Job: id, Item: item} }, reply: func() reply { return &BodyMessage{} },
 	}, func() (err error) {
 		b, err = g.batches.Body(ctx, id, item)
 
 		return err
 	})
 
+	if m, ok := a.(*BodyMessage); ok {
+		b = m.Body
+	}
+
 	return b, err
 }
 
 // End ends a job, like Batches.End.
 func (g *Gateway) End(ctx context.Context, id string) error {
-	var a ErrorMessage
-
-	return g.call(ctx, id, remote{
-		method: "Jobs.End", request: ItemMessage{Job: id}, reply: &a, result: func() ErrorMessage { return a },
+	_, err := g.call(ctx, id, remote{
+		method: "Jobs.End", request: func() any { return ItemMessage{Job: id} }, reply: func() reply { return &ErrorMessage{} },
 	}, func() error { return g.batches.End(ctx, id) })
+
+	return err
+}
+
+// reply is the answer of another daemon.
+type reply interface {
+	failure() ErrorMessage
 }
 
 // remote is a call as it is made at another daemon.
 type remote struct {
-	method         string
-	request, reply any
-	wait           time.Duration // of the call itself
-	result         func() ErrorMessage
+	method  string
+	wait    time.Duration // of the call itself
+	request func() any    // made once a call leaves this daemon, as a job can have megabytes
+	reply   func() reply  // a new one for each daemon, as the answer of one that was given up can still come
 }
 
 // call makes a call about a job here once this daemon has the partition, and else at the daemons that follow it, in turn,
 // until one decides about it. All these calls may be repeated. The error has the effect NotRun only if none of the daemons
-// may have done anything.
-func (g *Gateway) call(ctx context.Context, id string, r remote, local func() error) error {
+// may have done anything. The reply is the one that decided, if another daemon did.
+func (g *Gateway) call(ctx context.Context, id string, r remote, local func() error) (reply, error) {
+	if g.batches.serves(id) {
+		return nil, local()
+	}
+
 	effect := outcome.NotRun
 	err := notReady()
 
+	q := r.request()
 	l := g.near.Nearest(g.batches.Partition(id), id, time.Now())
 
 	for _, p := range l[:min(mostRemotes, len(l))] {
@@ -120,15 +131,16 @@
 			break
 		}
 
+		a := r.reply()
 		x, stop := context.WithTimeout(ctx, r.wait+remoteWithin)
-		e := g.caller.Call(x, p.Address, r.method, r.request, r.reply)
+		e := g.caller.Call(x, p.Address, r.method, q, a)
 
 		stop()
 
 		if e == nil {
-			e = r.result().err()
+			e = a.failure().err()
 			if e == nil || !outcome.Is(e, outcome.NotReady) {
-				return withEffect(e, effect)
+				return a, withEffect(e, effect)
 			}
 		} else {
 			g.failures.Failed(p.VM)
@@ -148,7 +160,7 @@
 		err = local()
 	}
 
-	return withEffect(err, effect)
+	return nil, withEffect(err, effect)
 }
 
 // withEffect returns err, with the effect Unknown if an earlier call may have had an effect.
--- a/batches/gateway_test.go
+++ b/batches/gateway_test.go
@@ -155,6 +155,55 @@
 	})
 }
 
+// late is a network in which the answer of one daemon comes after its call was given up, while another one answers.
+type late struct {
+	*network
+
+	address string
+	reply   any
+}
+
+func (n *late) Call(ctx context.Context, address, method string, q, a any) error {
+	if address == n.address {
+		n.reply = a
+
+		return outcome.New(outcome.LogUnavailable, outcome.Unknown, "no answer in time")
+	}
+
+	err := n.network.Call(ctx, address, method, q, a)
+
+	if m, ok := n.reply.(*batches.PageMessage); ok {
+		*m = batches.PageMessage{Total: 99}
+	}
+
+	return err
+}
+
+// Guards against an answer that is mixed with one that came late from a daemon that was asked before.
+func TestLateAnswers(t *testing.T) {
+	l := newMemory()
+	a := start(l, 0)
+
+	defer a.end()
+
+	b, end := bystander(l)
+	defer end()
+
+	ctx, stop := background()
+	defer stop()
+
+	Convey("A late answer changes nothing about the one that counts", t, func() {
+		So(a.Submit(ctx, job("j", 2)), ShouldBeNil)
+
+		n := &nearby{vms: []string{"slow", "a"}}
+		w := &late{network: &network{services: map[string]*batches.Service{"a": batches.NewService(a.Batches)}}, address: "slow"}
+
+		p, err := batches.NewGateway(b, n, n, w, zerolog.Nop()).Results(ctx, "j", 0, mostBytes, 0)
+		So(err, ShouldBeNil)
+		So(p.Total(), ShouldEqual, 2)
+	})
+}
+
 // Guards against a daemon that is taken out of service, or holds its callers up, as it is to follow one more partition and
 // cannot load it.
 func TestPartitionThatCannotBeLoaded(t *testing.T) {
--- a/batches/message.go
+++ b/batches/message.go
@@ -30,6 +30,8 @@
 	}
 }
 
+func (m ErrorMessage) failure() ErrorMessage { return m }
+
 func (m ErrorMessage) err() error {
 	if m.Code == "" {
 		return nil
@@ -105,6 +107,8 @@
 	Done bool   `msgpack:"done"`
 }
 
+func (m PageMessage) failure() ErrorMessage { return m.Error }
+
 func (m PageMessage) page() Page {
 	p := Page{total: m.Total, next: m.Next}
 	for _, v := range m.Results {
@@ -125,3 +129,5 @@
 	Body  []byte       `msgpack:"body"`
 	Error ErrorMessage `msgpack:"error"`
 }
+
+func (m BodyMessage) failure() ErrorMessage { return m.Error }
--- a/slots/holder.go
+++ b/slots/holder.go
@@ -21,8 +21,8 @@
 	// askWithin is the time for the owner's answer to a demand, which is given at once. A slower owner is replaced.
 	askWithin = 100 * time.Millisecond
 	// reportLeast is the time between two reports of what a daemon holds, while there are few daemons. reportPerPeer
-	// lengthens it with their number, so that an owner takes at most 200 reports a second; reportMost keeps it well below
-	// the silence after which a holder's leases are released.
+	// lengthens it with their number, so that an owner takes at most 200 reports a second from up to 160 daemons.
+	// reportMost keeps it well below the silence after which a holder's leases are released.
 	reportLeast   = 100 * time.Millisecond
 	reportPerPeer = 5 * time.Millisecond
 	reportMost    = 800 * time.Millisecond
@@ -225,10 +225,14 @@
 
 		stop()
 
-		if err == nil || ctx.Err() != nil {
+		if err == nil {
 			return o, a
 		}
 
+		if ctx.Err() != nil {
+			return o, DemandReply{} // a late answer can still be written into a
+		}
+
 		tried[o.VM] = true
 		h.peers.Failed(o.VM)
 		h.sendRelease(o, ReleaseMessage{Service: q.Service, ID: q.ID, Fault: uint8(pool.Unused)})
