Order daemons in one place, and remove state that nothing reads

mesh.Order serves the ranking of duties and the choice of followers, which had a copy of it. The identifiers of a job's items come from the items, as stubs are only made while it has them. Routed.loaded and the soak's count of served requests had no reader.

--- a/batch/append.go
+++ b/batch/append.go
@@ -190,8 +190,8 @@
 		ids := []itemRecord{}
 
 		if n == 0 {
-			for _, i := range j.ids {
-				ids = append(ids, itemRecord{ID: i})
+			for _, i := range j.items {
+				ids = append(ids, itemRecord{ID: i.id})
 			}
 		}
 
--- a/batch/batch.go
+++ b/batch/batch.go
@@ -127,8 +127,7 @@
 type job struct {
 	id      string
 	record  jobRecord
-	ids     []string // of the items, in order
-	items   []Item   // none once the job has ended
+	items   []Item // none once the job has ended
 	index   map[string]int
 	results []Result
 	listed  map[string]bool
--- a/batch/replica.go
+++ b/batch/replica.go
@@ -247,7 +247,6 @@
 	}
 
 	j.index[i.ID] = len(j.items)
-	j.ids = append(j.ids, i.ID)
 	j.items = append(j.items, NewItem(i.ID, i.Path, i.Header, i.Body, i.Tokens))
 }
 
--- a/batches/followers.go
+++ b/batches/followers.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/agategap/agategap/mesh"
-	"github.com/agategap/agategap/shard"
 )
 
 // followersEach is the number of daemons in each failure domain that follow a partition. A failure domain that is cut
@@ -47,23 +46,7 @@
 // Runners returns the daemons that may run a job of a partition that its own daemon no longer runs, the first choice
 // first. All daemons that know the same others choose the same one.
 func (f Followers) Runners(partition int, job string, now time.Time) []mesh.Peer {
-	return ranked(job, f.of(partition, now))
-}
-
-func ranked(key string, l []mesh.Peer) []mesh.Peer {
-	m := make(map[string]mesh.Peer, len(l))
-	n := make([]string, len(l))
-
-	for i, p := range l {
-		m[p.VM], n[i] = p, p.VM
-	}
-
-	r := make([]mesh.Peer, len(l))
-	for i, vm := range shard.Rank(key, n) {
-		r[i] = m[vm]
-	}
-
-	return r
+	return mesh.Order(job, f.of(partition, now))
 }
 
 // Nearest returns the daemons to take a call about a job to: those of this failure domain before the others, and those
@@ -72,9 +55,8 @@
 	var near, far, last []mesh.Peer
 
 	self := f.peers.Self()
-	l := f.of(partition, now)
 
-	for _, p := range ranked(job, l) {
+	for _, p := range f.Runners(partition, job, now) {
 		switch {
 		case p.VM == self.VM:
 		case f.peers.Suspect(p.VM):
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -47,7 +47,6 @@
 	batches *batches.Batches
 	runner  *batches.Runner
 	log     *keyed.Relayed
-	loaded  []*keyed.Follower
 	server  *peer.Server
 	client  *peer.Client
 	drain   *controller.Drain
@@ -153,7 +152,7 @@
 
 const (
 	// entriesPerPeer lengthens the time between two reads of the entries of targets with the number of daemons, so that
-	// all together make at most 250 reads a second of the few thousand that a store takes.
+	// up to 125 of them together make at most 250 reads a second of the few thousand that a store takes.
 	entriesPerPeer = 4 * time.Millisecond
 	// entriesMost bounds that time. Targets that leave serve for at least two seconds more.
 	entriesMost = 500 * time.Millisecond
@@ -172,10 +171,7 @@
 }
 
 func (d *Routed) follow(name string, s keyed.Sink) *keyed.Follower {
-	f := keyed.New(d.log, name, 0, s, d.logger)
-	d.loaded = append(d.loaded, f)
-
-	return f
+	return keyed.New(d.log, name, 0, s, d.logger)
 }
 
 func (d *Routed) newServer(h http.Handler) *http.Server {
--- a/mesh/rank.go
+++ b/mesh/rank.go
@@ -83,6 +83,14 @@
 }
 
 func rank(duty string, l []Peer) []Peer {
+	l = Order(duty, l)
+	slices.SortStableFunc(l, func(a, b Peer) int { return cmp.Compare(b.Power, a.Power) })
+
+	return l
+}
+
+// Order returns daemons in the order of a rendezvous hash for a key.
+func Order(key string, l []Peer) []Peer {
 	m := make(map[string]Peer, len(l))
 	n := make([]string, len(l))
 
@@ -90,11 +98,10 @@
 		m[p.VM], n[i] = p, p.VM
 	}
 
-	for i, vm := range shard.Rank(duty, n) {
-		l[i] = m[vm]
+	r := make([]Peer, len(l))
+	for i, vm := range shard.Rank(key, n) {
+		r[i] = m[vm]
 	}
 
-	slices.SortStableFunc(l, func(a, b Peer) int { return cmp.Compare(b.Power, a.Power) })
-
-	return l
+	return r
 }
--- a/soak/request.go
+++ b/soak/request.go
@@ -40,7 +40,6 @@
 	sent    map[string]bool // may the request run more than once?
 	refused map[string]bool
 	shown   map[string]shown // newest version that a process has shown, by daemon
-	served  int
 }
 
 // shown is the newest version that a run of a daemon has shown.
@@ -129,10 +128,6 @@
 		if want := stream(id); string(a.Body()) != want {
 			x.ledger.Break(Whole, id, fmt.Sprintf("%s: an answer of %d bytes looks complete; the whole one has %d", d.vm, len(a.Body()), len(want)))
 		}
-
-		x.mu.Lock()
-		x.served++
-		x.mu.Unlock()
 	case a.Status() == http.StatusTooManyRequests, a.Status() == http.StatusServiceUnavailable:
 		x.mu.Lock()
 		x.refused[id] = true
