Let the daemon that hands over get its shards first, in its test

The test needs vm-b to hold shards, but vm-c pulls from the same partition. When vm-b asks late, vm-c has run the whole job and vm-b never holds anything. Reproduced by cutting vm-b off until vm-c held shards: the job finished with 60 items and the wait ended without shards at vm-b, each time. A target that holds its answers back did not help, as vm-c then takes all 12 shards. Change: vm-c is cut off until vm-b holds shards. The checks stay: the hand-over ends, all 60 items are done, none runs twice. They are stricter now, as vm-b may hold the whole job.

--- a/controller/jobs_test.go
+++ b/controller/jobs_test.go
@@ -115,9 +115,16 @@
 				return nil
 			})
 
+			// Without this, a b that asks late finds that c has run the whole job, and has nothing to hand over.
+			c.silent.Store(true)
+			c.log.down.Store(true)
+
 			id, err := a.jobs.Submit(context.Background(), spec("k", "bill", 60))
 			So(err, ShouldBeNil)
 			So(waitFor(func() bool { _, n := s.targets.each(); return n > 0 && len(b.runner.Held()) > 0 }), ShouldBeTrue)
+
+			c.silent.Store(false)
+			c.log.down.Store(false)
 			So(b.runner.HandOver(context.Background()), ShouldBeNil)
 			So(b.runner.Held(), ShouldBeEmpty)
 
