Ask another daemon of a failure domain when one does not answer an exchange

Cause: the word of another failure domain replaces the list of VMs, and one random daemon in all other failure domains is asked every 10 s. When most of them are gone, hardly any exchange is answered, and the lost ones stay in the view. Change: failure domains are asked in turn, and a failed exchange goes to another daemon of the same one at once.

--- a/member/probe.go
+++ b/member/probe.go
@@ -303,6 +303,10 @@
 		t.probes.resync()
 	}
 
+	if s.kind == Exchange {
+		return t.remote.failed(now, t, s, r)
+	}
+
 	if s.kind != Probe || !ok || !inView(e.change) {
 		return nil
 	}
--- a/member/remote.go
+++ b/member/remote.go
@@ -12,6 +12,8 @@
 type remote struct {
 	mu      sync.Mutex
 	domains map[string]*remoteDomain
+	asked   map[string]time.Time // last exchange with a failure domain
+	silent  map[string]bool      // VMs that did not answer an exchange
 }
 
 type remoteDomain struct {
@@ -33,32 +35,81 @@
 	return m
 }
 
-// pick returns an exchange with a random daemon of another failure domain.
+// pick returns an exchange with a random daemon of the failure domain that was asked longest ago.
 func (s *remote) pick(now time.Time, t *Table, r *rand.Rand) (Send, bool) {
-	var l []Peer
+	l := s.view(t)
+	if len(l) == 0 {
+		return Send{}, false
+	}
 
-	for _, p := range s.view(t) {
-		if p.domain != t.settings.Domain {
-			l = append(l, p)
-		}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	slices.SortFunc(l, func(a, b Peer) int {
+		return cmp.Or(s.asked[a.domain].Compare(s.asked[b.domain]), cmp.Compare(a.domain, b.domain), cmp.Compare(a.vm, b.vm))
+	})
+
+	if s.asked == nil {
+		s.asked = map[string]time.Time{}
+	}
+
+	s.asked[l[0].domain] = now
+
+	v, ok := s.choose(now, t, l, l[0].domain, r)
+	if !ok { // nobody answered the last time
+		s.silent = nil
+		v, ok = s.choose(now, t, l, l[0].domain, r)
 	}
 
+	return v, ok
+}
+
+// choose returns an exchange with a random daemon of a failure domain that has not been silent. The caller holds the
+// lock.
+func (s *remote) choose(now time.Time, t *Table, l []Peer, domain string, r *rand.Rand) (Send, bool) {
+	l = slices.DeleteFunc(slices.Clone(l), func(p Peer) bool { return p.domain != domain || s.silent[p.vm] })
 	if len(l) == 0 {
 		return Send{}, false
 	}
 
-	slices.SortFunc(l, func(a, b Peer) int { return cmp.Compare(a.vm, b.vm) })
-
 	p := l[r.IntN(len(l))]
 
 	return Send{kind: Exchange, vm: p.vm, address: p.address, message: t.remoteMessage(now, false)}, true
 }
 
+// failed takes the absence of an answer, and returns an exchange with another daemon of the same failure domain. Without
+// it, a failure domain that has lost many daemons would not be heard of for long.
+func (s *remote) failed(now time.Time, t *Table, from Send, r *rand.Rand) []Send {
+	l := s.view(t)
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.silent == nil {
+		s.silent = map[string]bool{}
+	}
+
+	s.silent[from.vm] = true
+
+	i := slices.IndexFunc(l, func(p Peer) bool { return p.vm == from.vm })
+	if i < 0 {
+		return nil
+	}
+
+	if v, ok := s.choose(now, t, l, l[i].domain, r); ok {
+		return []Send{v}
+	}
+
+	return nil
+}
+
 // answered takes the word of another failure domain. When its live daemons changed it asks for all of them.
 func (s *remote) answered(now time.Time, t *Table, from Send, m Message) []Send {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	delete(s.silent, from.vm)
+
 	d := s.domains[m.Domain]
 
 	switch {
