Use the platform's store as the one log of both interfaces

The configuration is a keyed stream whose appends are conditional on what the publisher has read (configs.Publisher); the last eight versions stay in the log, so that republication, records held back behind a gap and publish -force go. The list of VMs comes from the entries of targets and from records in which daemons announce themselves every two minutes and which lapse (mesh.Members). platform.Client, standin/platform and standin platform -list-lag are gone. Tests: TestPublishOnALogThatLostEveryVersion and TestConfigurationOutlivesRetention guarded against a log that loses the configuration; TestConfigurationOutlivesHistory now shows that it does not. TestLoserBehindAGapIsNotAdopted goes, as a version that lost is no longer in the stream; TestPublisher checks that, with lost and late appends. TestAnUnchangedListIsNotSentAgain goes with the list. Of two publications on one version one append is made, where it were two. Also: a follower counts as fresh from the start of its listing, so that a daemon need not wait for a read after it.

--- a/config/record.go
+++ b/config/record.go
@@ -64,13 +64,7 @@
 // Version is a configuration as the log holds it. It is a wire message.
 type Version struct {
 	ID     string `msgpack:"id"`       // unique identifier of the publication
-	BaseOn int64  `msgpack:"based_on"` // offset of the version that it was based on; 0 for the first
+	BaseOn int64  `msgpack:"based_on"` // version that it was based on; 0 for the first
 	Author string `msgpack:"author"`   // operator
 	Text   []byte `msgpack:"text"`     // the document
-	Force  bool   `msgpack:"force"`    // comes into force whatever its base; for a log that lost every version
-
-	// A republication carries the version in force again, before the log drops it. It changes nothing for a reader
-	// that has replayed the stream; a reader whose part of the stream was dropped starts from it.
-	Restates int64 `msgpack:"restates"` // offset of the version in force; 0 for a publication
-	Through  int64 `msgpack:"through"`  // offset up to which the republisher had replayed the stream
 }
--- /dev/null
+++ b/configs/configs_test.go
@@ -0,0 +1,179 @@
+package configs_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/agategap/agategap/config"
+	"github.com/agategap/agategap/configs"
+	"github.com/agategap/agategap/stream"
+	"github.com/agategap/agategap/wire"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("20261204")
+	}
+
+	os.Exit(m.Run())
+}
+
+func text(n int) []byte { return []byte(fmt.Sprintf("partitions = %d\n", n)) }
+
+func encode(v config.Version) []byte {
+	b, err := (wire.Versions{}).EncodeVersion(v)
+	if err != nil {
+		panic(err)
+	}
+
+	return b
+}
+
+// model is a keyed stream that keeps the newest record of each key for good.
+type model struct {
+	records []stream.Keyed
+	oldest  int64 // first offset that can be read
+}
+
+func (m *model) put(key string, v []byte) {
+	m.records = append(m.records, stream.NewKeyed(int64(len(m.records)), key, v))
+}
+
+// newest returns the newest record of each key, in no order.
+func (m *model) newest() []stream.Keyed {
+	k := map[string]stream.Keyed{}
+	for _, r := range m.records {
+		k[r.Key()] = r
+	}
+
+	var l []stream.Keyed
+	for _, r := range k {
+		l = append(l, r)
+	}
+
+	return l
+}
+
+// reader is one daemon that follows the stream.
+type reader struct {
+	*configs.Configs
+
+	next   int64
+	loaded bool
+}
+
+func newReader() *reader { return &reader{Configs: configs.New(wire.Versions{}, zerolog.Nop())} }
+
+// read applies at most n records. A reader that is new, or whose records were dropped, takes the newest of each key.
+func (r *reader) read(m *model, n int) {
+	if !r.loaded || r.next < m.oldest {
+		r.Reset(m.newest())
+		r.next, r.loaded = int64(len(m.records)), true
+	}
+
+	for ; n > 0 && r.next < int64(len(m.records)); n-- {
+		r.Apply(m.records[r.next])
+		r.next++
+	}
+}
+
+// Guards against daemons that disagree on the version in force, or go back to an older one: versions with findings and
+// records that cannot be read are appended, the log drops history, readers start anew, and take versions of peers.
+func TestEveryReaderFindsTheSameVersion(t *testing.T) {
+	const keys = 8 // versions that stay in the log
+
+	rapid.Check(t, func(t *rapid.T) {
+		var (
+			log     model
+			valid   []int64 // offsets of valid versions
+			readers = []*reader{newReader(), newReader(), newReader()}
+			last    = map[*reader]int64{}
+		)
+
+		draw := func() *reader { return readers[rapid.IntRange(0, 2).Draw(t, "reader")] }
+
+		t.Repeat(map[string]func(*rapid.T){
+			"publish": func(t *rapid.T) {
+				o := len(log.records)
+				n := rapid.IntRange(0, 4).Draw(t, "partitions") // 0 is invalid
+				// Publishers refuse versions with findings, so that few of them are in the stream.
+				if n == 0 && o > 0 && (len(valid) == 0 || valid[len(valid)-1] < int64(o-2)) {
+					n = 1
+				}
+
+				if n > 0 {
+					valid = append(valid, int64(o))
+				}
+
+				log.put(fmt.Sprint((o+1)%keys), encode(config.Version{Text: text(n)}))
+			},
+			"read":     func(t *rapid.T) { draw().read(&log, rapid.IntRange(1, 6).Draw(t, "records")) },
+			"read all": func(*rapid.T) { draw().read(&log, len(log.records)) },
+			"drop":     func(t *rapid.T) { log.oldest = rapid.Int64Range(log.oldest, int64(len(log.records))).Draw(t, "oldest") },
+			"receive": func(*rapid.T) {
+				if f := draw().InForce(); f.Offset() > 0 {
+					if err := draw().Receive(f.Offset(), f.Version()); err != nil {
+						t.Fatal(err)
+					}
+				}
+			},
+			"replace": func(t *rapid.T) { readers[rapid.IntRange(0, 2).Draw(t, "reader")] = newReader() },
+			"": func(t *rapid.T) {
+				for _, r := range readers {
+					o := r.InForce().Offset()
+					if o < last[r] {
+						t.Fatalf("a reader went back from version %d to %d", last[r], o)
+					}
+
+					last[r] = o
+
+					want := int64(0) // newest valid version that the reader has read
+					for _, v := range valid {
+						if v < r.next {
+							want = v + 1
+						}
+					}
+
+					if o < want {
+						t.Fatalf("version %d is in force at a reader that has read up to %d; it should be %d", o, r.next, want)
+					}
+
+					if o > want && o > int64(len(log.records)) {
+						t.Fatalf("version %d is in force and was never published", o)
+					}
+				}
+			},
+		})
+	})
+}
+
+// Guards against a configuration that is lost with the history of the log, against a record that cannot be read and
+// takes the one before it away, and against a new daemon without a version.
+func TestConfigurationOutlivesHistory(t *testing.T) {
+	Convey("Given more versions than the log keeps, the newest of which daemons refuse", t, func() {
+		var m model
+
+		for i := 1; i <= 20; i++ {
+			m.put(fmt.Sprint(i%8), encode(config.Version{Author: "ada", Text: text(i)}))
+		}
+
+		m.put("5", encode(config.Version{Author: "bo", Text: text(0)}))
+		m.put("6", []byte("?"))
+		m.oldest = int64(len(m.records))
+
+		Convey("a daemon that starts has the newest valid version", func() {
+			r := newReader()
+			r.read(&m, 0)
+			So(r.InForce().Offset(), ShouldEqual, 20)
+			So(r.InForce().Document().Partitions, ShouldEqual, 20)
+		})
+	})
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,8 +19,10 @@
 	"github.com/oklog/run"
 	"github.com/rs/zerolog"
 
+	"github.com/agategap/agategap/configs"
 	"github.com/agategap/agategap/controller"
 	"github.com/agategap/agategap/drain"
+	"github.com/agategap/agategap/keyed"
 	"github.com/agategap/agategap/operator"
 	"github.com/agategap/agategap/peer"
 	"github.com/agategap/agategap/platform"
@@ -36,7 +38,8 @@
 	logger     zerolog.Logger
 	holder     string
 	group      run.Group
-	config     *controller.Config
+	config     *configs.Configs
+	directory  *directory
 	targets    *controller.Targets
 	membership *controller.Membership
 	work       atomic.Pointer[work] // nil until the first version is known, which has the number of partitions
@@ -101,26 +104,24 @@
 }
 
 func (d *Daemon) build() error {
-	p := platform.New(d.settings.Platform)
-	w := machines{client: p}
+	l := platform.NewStore(d.settings.Platform)
 
 	d.metrics = newMetrics()
 	k := peer.NewKeys(d.settings.PeerKeys)
 	d.server, d.client = peer.NewServer(k), peer.NewClient(k)
-	d.log = &watchedLog{log: p}
+	d.log = &watchedLog{log: platform.NewStreams(l, d.settings.Store.RecordBytes, d.settings.Store.CallBytes)}
 
 	if err := d.encrypt(); err != nil {
 		return err
 	}
 
-	d.config = controller.NewConfig(d.log, wire.Versions{}, d.logger)
+	d.config = configs.New(wire.Versions{}, d.logger)
+	d.directory = newDirectory(d, l)
 
 	pool := d.buildPool()
-	d.targets = controller.NewTargets(w, pool, d.settings.FailureDomain)
+	d.targets = controller.NewTargets(d.directory, pool, d.settings.FailureDomain)
 	d.targets.Bound(bounds{config: d.config}.LeavingBound)
 
-	d.config.SetRepublisher(republisher{client: p, peers: d.peers, vm: d.settings.VM}, d.settings.LogRetention.Value(), time.Now)
-
 	c := target.New()
 	d.buildMembership(c)
 	stopFirst(&d.group, func(ctx context.Context) error { return d.runWork(ctx, pool, c) })
@@ -130,7 +131,8 @@
 	d.drain.Subscribe("jobs", d.handOver)
 	d.serve(d.listeners[1], operator.New(d, d.metrics.handler(), d.dumpers()).WithJobs(d).Handler())
 	d.group.Add(func() error { return d.server.Serve(d.listeners[2]) }, func(error) { d.server.Close(); d.client.Close() })
-	actor(&d.group, d.config.Run)
+	actor(&d.group, keyed.New(l, configs.Stream, 0, d.config, d.logger).Run)
+	d.directory.run(&d.group)
 	actor(&d.group, d.targets.Run)
 
 	return nil
--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -85,9 +85,6 @@
 	}
 }
 
-// peers returns the daemons thought live.
-func (d *Daemon) peers() []controller.Peer { return d.membership.Peers() }
-
 // Membership returns the membership of the daemon.
 func (d *Daemon) Membership() *controller.Membership { return d.membership }
 
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -128,23 +128,24 @@
 	d.group.Add(func() error { return d.server.Serve(d.listeners[2]) }, func(error) { d.server.Close(); d.client.Close() })
 
 	actor(&d.group, d.follow(platform.TopicOperator, &routeSink{routed: d}).Run)
-	actor(&d.group, d.follow(platform.TopicWorkers, &targetSink{routed: d}).WithHealth(&d.targets).WithPause(d.entriesPause).Run)
-	members := d.follow(memberStream, &memberSink{table: table, logger: d.logger})
-	actor(&d.group, members.Run)
+	actor(&d.group, d.follow(platform.TopicWorkers, &targetSink{targets: &d.targets, logger: d.logger}).WithHealth(&d.targets).WithPause(d.entriesPause).Run)
+	members := mesh.NewMembers(
+		d.log, platform.TopicMembers, mesh.Record{Peer: self, Region: d.settings.Region, Operator: d.OperatorAddress()},
+		func(p mesh.Peer) { table.Learn(p, time.Now()) }, time.Now, d.logger)
+	records := d.follow(platform.TopicMembers, members).WithHealth(members)
+	actor(&d.group, records.Run)
 
 	assigner := batches.NewAssigner(d.batches, followers, d.runner, table, d.logger)
 	actor(&d.group, func(ctx context.Context) error {
 		select {
-		case <-members.Ready(): // the shares depend on the other daemons
+		case <-records.Ready(): // the shares depend on the other daemons
 		case <-ctx.Done():
 		}
 
 		return assigner.Run(ctx)
 	})
-	actor(&d.group, func(ctx context.Context) error { return announce(ctx, d.log, self, d.logger) })
-
 	for _, f := range []func(context.Context) error{
-		d.mesh.Run, d.owner.Run, holder.Run, workers.Run, d.reload, func(ctx context.Context) error { return d.bounds.Run(ctx, d.logger) },
+		members.Run, d.mesh.Run, d.owner.Run, holder.Run, workers.Run, d.reload, func(ctx context.Context) error { return d.bounds.Run(ctx, d.logger) },
 	} {
 		actor(&d.group, f)
 	}
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -7,13 +7,14 @@
 	"time"
 
 	"github.com/agategap/agategap/balance"
+	"github.com/agategap/agategap/configs"
 	"github.com/agategap/agategap/controller"
 	"github.com/agategap/agategap/operator"
 )
 
 // bounds gives the bounds of the configuration in force to the filters, the pool and the slots.
 type bounds struct {
-	config *controller.Config
+	config *configs.Configs
 }
 
 // SlowShare returns the share of a service's targets that may be set aside as slow.
@@ -44,7 +45,7 @@
 }
 
 // Peers returns the daemons that may own targets.
-func (p slotPeers) Peers() []controller.Peer { return p.daemon.peers() }
+func (p slotPeers) Peers() []controller.Peer { return p.daemon.membership.Peers() }
 
 // Domain returns the failure domain of a target.
 func (p slotPeers) Domain(target string) (string, bool) { return p.daemon.targets.Domain(target) }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -1,4 +1,4 @@
-// Package demo runs a whole small system in one process on loopback: the platform stand-in, engines, a plain
+// Package demo runs a whole small system in one process on loopback: the stand-in of the store, engines, a plain
 // service and daemons of three failure domains.
 package demo
 
@@ -18,13 +18,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/agategap/agategap/config"
-	"github.com/agategap/agategap/controller"
+	"github.com/agategap/agategap/configs"
 	"github.com/agategap/agategap/daemon"
 	"github.com/agategap/agategap/platform"
 	"github.com/agategap/agategap/settings"
 	"github.com/agategap/agategap/standin/engine"
-	standplatform "github.com/agategap/agategap/standin/platform"
 	"github.com/agategap/agategap/standin/service"
+	"github.com/agategap/agategap/standin/store"
 	"github.com/agategap/agategap/tomlfile"
 	"github.com/agategap/agategap/wire"
 )
@@ -80,16 +80,16 @@
 
 // Demo is the running system.
 type Demo struct {
-	options  Options
-	group    *errgroup.Group
-	stop     context.CancelFunc
-	ctx      context.Context //nolint:containedctx // the life of the system, not of a call
-	platform *standplatform.Platform
-	address  string
-	service  *service.Service
-	engines  []*engine.Engine
-	daemons  []*daemon.Daemon
-	vms      []platform.VM
+	options Options
+	group   *errgroup.Group
+	stop    context.CancelFunc
+	ctx     context.Context //nolint:containedctx // the life of the system, not of a call
+	store   *store.Store
+	address string
+	service *service.Service
+	engines []*engine.Engine
+	targets []string // addresses of the engines
+	daemons []*daemon.Daemon
 }
 
 // Start starts the system.
@@ -100,7 +100,7 @@
 	g, x := errgroup.WithContext(x)
 	d := &Demo{
 		options: o, group: g, ctx: x, stop: stop, service: &service.Service{},
-		platform: standplatform.New(standplatform.Options{AppendsPerSecond: o.Appends}),
+		store: store.New(store.Options{AppendsPerSecond: o.Appends}),
 	}
 
 	if err := d.start(z); err != nil {
@@ -113,7 +113,7 @@
 }
 
 func (d *Demo) start(z zerolog.Logger) error {
-	a, err := d.listen(d.platform.Handler())
+	a, err := d.listen(d.store.Handler())
 	if err != nil {
 		return err
 	}
@@ -142,8 +142,6 @@
 		}
 	}
 
-	d.platform.SetVMs(d.vms)
-
 	return nil
 }
 
@@ -160,22 +158,30 @@
 	d.group.Go(func() error { e.Run(d.ctx.Done()); return nil })
 
 	a, err := d.listen(e.Handler())
-	d.vms = append(d.vms, platform.VM{
-		Name: fmt.Sprintf("%s-worker-%d", domain, i), Address: a, FailureDomain: domain, Region: region,
-		Role: platform.RoleTarget, Service: d.options.Service, Kind: config.KindEngine, State: platform.StateLive,
-	})
+	if err != nil {
+		return err
+	}
 
-	return err
+	d.targets = append(d.targets, a)
+
+	return d.enter(fmt.Sprintf("%s-worker-%d", domain, i), a, domain, d.options.Service)
+}
+
+// targetSlots is written in the entries of all targets. Daemons of the demo find the slots of a target out.
+const targetSlots = 16
+
+// enter writes the entry of a target, as it does itself on the platform.
+func (d *Demo) enter(name, address, domain, service string) error {
+	return d.store.PutEntry(name, store.Entry{Service: service, Address: address, Zone: domain, Slots: targetSlots, State: store.Ready})
 }
 
 func (d *Demo) startService(domain string) error {
 	a, err := d.listen(d.service.Handler())
-	d.vms = append(d.vms, platform.VM{
-		Name: domain + "-billing", Address: a, FailureDomain: domain, Region: region,
-		Role: platform.RoleTarget, Service: "billing", Kind: config.KindPlain, State: platform.StateLive,
-	})
+	if err != nil {
+		return err
+	}
 
-	return err
+	return d.enter(domain+"-billing", a, domain, "billing")
 }
 
 func (d *Demo) startDaemon(domain string, i int, z zerolog.Logger) error {
@@ -192,15 +198,14 @@
 	}
 
 	d.daemons = append(d.daemons, v)
-	d.vms = append(d.vms, platform.VM{
-		Name: fmt.Sprintf("%s-entry-%d", domain, i), Address: v.CallerAddress(), PeerAddress: v.PeerAddress(), OperatorAddress: v.OperatorAddress(),
-		FailureDomain: domain, Region: region, Role: platform.RoleEntry, State: platform.StateLive,
-	})
 	d.group.Go(func() error { return v.Run(d.ctx) })
 
 	return nil
 }
 
+// publishWithin bounds the publication of the first configuration.
+const publishWithin = 5 * time.Second
+
 // publish publishes the demo's configuration.
 func (d *Demo) publish() error {
 	hash := func(k string) []string { h := sha256.Sum256([]byte(k)); return []string{hex.EncodeToString(h[:])} }
@@ -219,12 +224,12 @@
 		return err
 	}
 
-	b, err := (wire.Versions{}).EncodeVersion(config.Version{ID: "demo", Author: "demo", Text: t})
-	if err != nil {
+	p := configs.NewPublisher(platform.NewStore(d.address), wire.Versions{})
+	if err := p.Read(d.ctx); err != nil {
 		return err
 	}
 
-	_, err = platform.New(d.address).Append(d.ctx, controller.ConfigStream, b)
+	_, err = p.Publish(d.ctx, config.Version{ID: "demo", Author: "demo", Text: t}, publishWithin)
 
 	return err
 }
@@ -261,7 +266,7 @@
 // Stop ends the system.
 func (d *Demo) Stop() { d.stop() }
 
-// Platform returns the address of the platform stand-in.
+// Platform returns the address of the stand-in of the store.
 func (d *Demo) Platform() string { return d.address }
 
 // Caller returns the caller address of daemon i.
@@ -300,7 +305,7 @@
 func (d *Demo) Engines() []*engine.Engine { return d.engines }
 
 // Target returns the address of engine i.
-func (d *Demo) Target(i int) string { return d.vms[i%len(d.engines)].Address }
+func (d *Demo) Target(i int) string { return d.targets[i%len(d.targets)] }
 
 // Service returns the name of the engines' service.
 func (d *Demo) Service() string { return d.options.Service }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -224,6 +224,23 @@
 
 // Usable returns the targets of a service that may get work, in order of name.
 func (r *Registry) Usable(service string, now time.Time) []Target {
+	return r.list(
+		func(t Target) bool { return t.service == service },
+		func(e entry) bool { return r.usable(e, now) },
+	)
+}
+
+// Listed returns all targets that may get work or are leaving, in order of name.
+func (r *Registry) Listed(now time.Time) []Target {
+	return r.list(
+		func(Target) bool { return true },
+		func(e entry) bool { return e.target.leaving || r.usable(e, now) },
+	)
+}
+
+// list returns the targets that belong to a list, and whose entries count, in order of name. belongs is called under
+// the lock of a shard, counts is not.
+func (r *Registry) list(belongs func(t Target) bool, counts func(e entry) bool) []Target {
 	var l []Target
 
 	for i := range r.shards {
@@ -232,14 +249,14 @@
 		h.mu.Lock()
 		var s []entry
 		for _, e := range h.entries {
-			if e.target.service == service {
+			if belongs(e.target) {
 				s = append(s, e)
 			}
 		}
 		h.mu.Unlock()
 
 		for _, e := range s {
-			if r.usable(e, now) {
+			if counts(e) {
 				l = append(l, e.target)
 			}
 		}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -39,11 +39,13 @@
 			r.Put(target("a").AsLeaving(), 5)
 			r.Put(target("a"), 4)
 			So(names(r.Usable("s", at(0))), ShouldResemble, []string{"b"})
+			So(names(r.Listed(at(0))), ShouldResemble, []string{"a", "b"})
 		})
 
 		Convey("one whose entry is removed is gone at once while the log is sound", func() {
 			r.Remove("a", 5, at(1))
 			So(names(r.Usable("s", at(1))), ShouldResemble, []string{"b"})
+			So(names(r.Listed(at(1))), ShouldResemble, []string{"b"})
 
 			r.Put(target("a"), 6)
 			So(names(r.Usable("s", at(2))), ShouldResemble, []string{"a", "b"})
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -9,6 +9,7 @@
 	"io"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/agategap/agategap/finding"
 	"github.com/agategap/agategap/outcome"
@@ -179,3 +180,13 @@
 func (e Env) printf(format string, a ...any) {
 	_, _ = fmt.Fprintf(e.out, format, a...)
 }
+
+// pause waits for d or until ctx ends, and reports whether it waited in full.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/cmd/cmd_config.go
+++ b/internal/cmd/cmd_config.go
@@ -7,7 +7,9 @@
 	"strings"
 	"time"
 
+	"github.com/agategap/agategap/configs"
 	"github.com/agategap/agategap/platform"
+	"github.com/agategap/agategap/wire"
 )
 
 var cmdConfig = &Cmd{
@@ -18,7 +20,7 @@
 	Action: func(ctx context.Context, e Env, args []string) error {
 		f := e.flags()
 		a := f.String("platform", "", "address of the platform, IP:port; its version in force is printed")
-		d := f.String("daemons", "", "operator addresses of daemons, separated by commas; those of the platform's list when empty")
+		d := f.String("daemons", "", "operator addresses of daemons, separated by commas; those of the daemons' records in the log when empty")
 		w := f.Bool("watch", false, "print the versions again whenever one changes, until an interrupt")
 		n := f.Duration("interval", time.Second, "time between two looks of -watch")
 
@@ -32,7 +34,8 @@
 
 		c := configView{env: e, daemons: *d}
 		if *a != "" {
-			c.client = platform.New(*a)
+			c.store = platform.NewStore(*a)
+			c.publisher = configs.NewPublisher(c.store, wire.Versions{})
 		}
 
 		if *w {
@@ -48,27 +51,27 @@
 
 // configView shows versions.
 type configView struct {
-	env     Env
-	client  *platform.Client
-	daemons string
+	env       Env
+	store     *platform.Store
+	publisher *configs.Publisher
+	daemons   string
 }
 
 // print prints the versions as comments, followed by the document in force.
 func (c configView) print(ctx context.Context) error {
-	if c.client == nil {
-		l, err := c.lines(ctx, nil)
+	if c.publisher == nil {
+		l, err := c.lines(ctx)
 		c.env.printf("%s\n", strings.Join(l, "\n"))
 
 		return err
 	}
 
-	v, err := readVersions(ctx, c.client)
-	if err != nil {
+	if err := c.publisher.Read(ctx); err != nil {
 		return err
 	}
 
-	l, _ := c.lines(ctx, v) // the platform's list may have no operator addresses
-	c.env.printf("%s\n%s", strings.Join(l, "\n"), v.ledger.InForce().Version().Text)
+	l, _ := c.lines(ctx) // no daemon may be recorded in the log
+	c.env.printf("%s\n%s", strings.Join(l, "\n"), c.publisher.InForce().Version().Text)
 
 	return nil
 }
@@ -77,17 +80,15 @@
 func (c configView) watch(ctx context.Context, interval time.Duration) error {
 	var last []string
 
-	v := &versions{}
-
 	for {
-		if c.client != nil {
-			if err := v.readMore(ctx, c.client, 0); err != nil && ctx.Err() == nil {
+		if c.publisher != nil {
+			if err := c.publisher.Read(ctx); err != nil && ctx.Err() == nil {
 				c.env.printf("# %s\n", err)
 			}
 		}
 
-		l, err := c.lines(ctx, v)
-		if err != nil && c.client == nil {
+		l, err := c.lines(ctx)
+		if err != nil && c.publisher == nil {
 			return err
 		}
 
@@ -104,15 +105,15 @@
 }
 
 // lines returns one line for the version in force and one for each daemon.
-func (c configView) lines(ctx context.Context, v *versions) ([]string, error) {
+func (c configView) lines(ctx context.Context) ([]string, error) {
 	var l []string
 
-	if v != nil && c.client != nil {
-		f := v.ledger.InForce()
+	if c.publisher != nil {
+		f := c.publisher.InForce()
 		l = append(l, fmt.Sprintf("# version %d, based on %d, by %s", f.Offset(), f.Version().BaseOn, f.Version().Author))
 	}
 
-	a, err := daemonAddresses(ctx, c.daemons, c.client)
+	a, err := daemonAddresses(ctx, c.daemons, c.store)
 	if err != nil {
 		return l, err
 	}
--- a/internal/cmd/cmd_dump.go
+++ b/internal/cmd/cmd_dump.go
@@ -18,7 +18,7 @@
 		f := e.flags()
 		o := f.String("address", "", "operator address of one daemon, IP:port; its state alone is printed")
 		d := f.String("daemons", "", "operator addresses, separated by commas; an object with the state of each is printed")
-		p := f.String("platform", "", "address of the platform, whose list has the daemons, IP:port")
+		p := f.String("platform", "", "address of the platform, whose log has the records of the daemons, IP:port")
 
 		if err := e.parse(f, args, 0, 0); err != nil {
 			return err
@@ -32,9 +32,9 @@
 			return e.usage(f, "-address, -daemons or -platform is required")
 		}
 
-		var c *platform.Client
+		var c *platform.Store
 		if *p != "" {
-			c = platform.New(*p)
+			c = platform.NewStore(*p)
 		}
 
 		a, err := daemonAddresses(ctx, *d, c)
--- a/internal/cmd/cmd_publish.go
+++ b/internal/cmd/cmd_publish.go
@@ -9,9 +9,11 @@
 	"time"
 
 	"github.com/agategap/agategap/config"
+	"github.com/agategap/agategap/configs"
 	"github.com/agategap/agategap/finding"
 	"github.com/agategap/agategap/outcome"
 	"github.com/agategap/agategap/platform"
+	"github.com/agategap/agategap/wire"
 )
 
 var cmdPublish = &Cmd{
@@ -27,10 +29,9 @@
 		b := f.Int64("based-on", -1, "version that the configuration was based on, 0 for none; the version in force when not given")
 		f.StringVar(&p.author, "author", userName(), "name of the operator")
 		f.BoolVar(&p.dry, "n", false, "show the difference and publish nothing")
-		f.BoolVar(&p.force, "force", false, "replace whatever is in force; only for a log that has lost every version")
 		f.BoolVar(&p.wait, "wait", false, "wait until every reachable daemon has adopted the version")
-		f.DurationVar(&p.timeout, "timeout", defaultAdoptWait, "longest time for -wait, and for finding a version in the stream whose append response was lost")
-		d := f.String("daemons", "", "operator addresses of the daemons for -wait, separated by commas; those of the platform's list when empty")
+		f.DurationVar(&p.timeout, "timeout", defaultAdoptWait, "longest time for -wait, and for finding out about a version whose append was not answered")
+		d := f.String("daemons", "", "operator addresses of the daemons for -wait, separated by commas; those of the daemons' records in the log when empty")
 
 		if err := e.parse(f, args, 1, 1); err != nil {
 			return err
@@ -49,7 +50,9 @@
 			return err
 		}
 
-		p.client, p.text, p.based, p.daemons, p.path = platform.New(*a), t, *b, *d, f.Arg(0)
+		p.store = platform.NewStore(*a)
+		p.publisher = configs.NewPublisher(p.store, wire.Versions{})
+		p.text, p.based, p.daemons, p.path = t, *b, *d, f.Arg(0)
 
 		return p.run(ctx)
 	},
@@ -60,32 +63,26 @@
 
 // publication is one call of the command.
 type publication struct {
-	env      Env
-	path     string
-	client   *platform.Client
-	text     []byte
-	document config.Document
-	based    int64
-	author   string
-	daemons  string
-	dry      bool
-	force    bool
-	wait     bool
-	timeout  time.Duration
+	env       Env
+	path      string
+	store     *platform.Store
+	publisher *configs.Publisher
+	text      []byte
+	document  config.Document
+	based     int64
+	author    string
+	daemons   string
+	dry       bool
+	wait      bool
+	timeout   time.Duration
 }
 
 func (p *publication) run(ctx context.Context) error {
-	v, err := readVersions(ctx, p.client)
-	if err != nil {
+	if err := p.publisher.Read(ctx); err != nil {
 		return err
 	}
 
-	if v.ledger.Broken() && !p.force {
-		return outcome.New(outcome.Conflict, outcome.NotRun,
-			"the log has dropped the version in force and no daemon has republished it; start one that has it, or use -force to replace it")
-	}
-
-	f := v.ledger.InForce()
+	f := p.publisher.InForce()
 	if err := p.checkPartitions(f); err != nil {
 		return err
 	}
@@ -101,21 +98,22 @@
 		p.based = f.Offset()
 	}
 
-	if err := v.publish(ctx, p.client, config.Version{ID: newID(), BaseOn: p.based, Author: p.author, Text: p.text, Force: p.force}, p.timeout); err != nil {
-		return err
-	}
+	n, err := p.publisher.Publish(ctx, config.Version{ID: newID(), BaseOn: p.based, Author: p.author, Text: p.text}, p.timeout)
+	if err != nil {
+		if outcome.Is(err, outcome.Conflict) {
+			p.showRival()
+		}
 
-	if v.verdict != config.Adopted {
-		return p.refused(v)
+		return err
 	}
 
-	p.env.printf("version %d is in force\n", v.offset)
+	p.env.printf("version %d is in force\n", n)
 
 	if !p.wait {
 		return nil
 	}
 
-	return p.await(ctx, v.offset)
+	return p.await(ctx, n)
 }
 
 // checkPartitions refuses another number of partitions, as work would no longer be found under its key.
@@ -147,24 +145,20 @@
 	}
 }
 
-// refused reports why a version did not come into force.
-func (p *publication) refused(v *versions) error {
-	if v.verdict == config.Invalid {
-		return outcome.New(outcome.InvalidRequest, outcome.NotRun, "the daemons refuse the version as invalid").WithCause(v.err)
+// showRival shows what others have changed since the version that this one is based on.
+func (p *publication) showRival() {
+	r := p.publisher.InForce()
+
+	b, ok := p.publisher.Version(p.based)
+	if !ok {
+		return
 	}
 
-	r := v.rival
-	if b, ok := v.adopted[p.based]; ok {
-		p.env.printf("version %d by %q is in force; since version %d, on which yours is based:\n", r.Offset(), r.Version().Author, p.based)
+	p.env.printf("version %d by %q is in force; since version %d, on which yours is based:\n", r.Offset(), r.Version().Author, p.based)
 
-		for _, c := range config.Difference(b.Document(), r.Document()) {
-			p.env.printf("  %s\n", c)
-		}
+	for _, c := range config.Difference(b.Document(), r.Document()) {
+		p.env.printf("  %s\n", c)
 	}
-
-	return outcome.New(outcome.Conflict, outcome.NotRun,
-		"conflict: version %d by %q is in force, and yours is based on version %d; merge its changes and publish again",
-		r.Offset(), r.Version().Author, p.based)
 }
 
 const adoptInterval = 500 * time.Millisecond
@@ -174,7 +168,7 @@
 	x, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
 
-	a, err := daemonAddresses(x, p.daemons, p.client)
+	a, err := daemonAddresses(x, p.daemons, p.store)
 	if err != nil {
 		return err
 	}
--- a/internal/cmd/cmd_status.go
+++ b/internal/cmd/cmd_status.go
@@ -19,8 +19,8 @@
 	Example: "agategap status -daemons 127.0.0.1:7101,127.0.0.1:7102",
 	Action: func(ctx context.Context, e Env, args []string) error {
 		f := e.flags()
-		d := f.String("daemons", "", "operator addresses, separated by commas; those of the platform's list when empty")
-		p := f.String("platform", "", "address of the platform, whose list has the daemons, IP:port")
+		d := f.String("daemons", "", "operator addresses, separated by commas; those of the daemons' records in the log when empty")
+		p := f.String("platform", "", "address of the platform, whose log has the records of the daemons, IP:port")
 		n := f.Duration("interval", defaultSample, "time over which requests are counted; 0 counts from the start of each daemon")
 
 		if err := e.parse(f, args, 0, 0); err != nil {
@@ -31,9 +31,9 @@
 			return e.usage(f, "-daemons or -platform is required")
 		}
 
-		var c *platform.Client
+		var c *platform.Store
 		if *p != "" {
-			c = platform.New(*p)
+			c = platform.NewStore(*p)
 		}
 
 		a, err := daemonAddresses(ctx, *d, c)
--- a/keyed/follower.go
+++ b/keyed/follower.go
@@ -327,6 +327,10 @@
 	f.sink.Reset(g.records)
 	f.next = g.end
 
+	if g.begun.After(f.fresh) {
+		f.fresh = g.begun
+	}
+
 	if !f.loaded {
 		f.loaded = true
 
--- /dev/null
+++ b/mesh/members.go
@@ -0,0 +1,148 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/agategap/agategap/shard"
+	"github.com/agategap/agategap/stream"
+	"github.com/agategap/agategap/wire"
+)
+
+const (
+	// announceRetry is the delay after the log did not take the record of this daemon.
+	announceRetry = 300 * time.Millisecond
+	// announceWithin bounds one attempt.
+	announceWithin = 5 * time.Second
+)
+
+// Log appends to the keyed stream of the daemons' records.
+type Log interface {
+	Append(ctx context.Context, name string, part int, records []stream.Keyed, at int64) (int64, error)
+}
+
+// Members announces this daemon in the log and knows the records of the others. It is the sink of a follower of the
+// stream.
+type Members struct {
+	log    Log
+	stream string
+	self   Record
+	learn  func(p Peer)
+	clock  func() time.Time
+	logger zerolog.Logger
+	roster Roster
+}
+
+// NewMembers returns the controller of the records in a stream. learn is told of the daemon of each record.
+func NewMembers(l Log, stream string, self Record, learn func(p Peer), clock func() time.Time, z zerolog.Logger) *Members {
+	return &Members{log: l, stream: stream, self: self, learn: learn, clock: clock, logger: z}
+}
+
+// Listed returns the records of daemons that have announced themselves lately.
+func (m *Members) Listed() []Record { return m.roster.Listed(m.clock()) }
+
+// Outage records whether the log is available.
+func (m *Members) Outage(down bool, now time.Time) { m.roster.Outage(down, now) }
+
+// Reset takes all records.
+func (m *Members) Reset(l []stream.Keyed) {
+	on := map[string]bool{}
+
+	for _, k := range l {
+		on[k.Key()] = true
+
+		m.Apply(k)
+	}
+
+	for _, v := range m.Listed() {
+		if !on[v.Peer.VM] {
+			m.roster.Remove(v.Peer.VM)
+		}
+	}
+}
+
+// Apply takes the record of a daemon.
+func (m *Members) Apply(k stream.Keyed) {
+	if k.Key() == "" {
+		return
+	}
+
+	if len(k.Value()) == 0 {
+		m.roster.Remove(k.Key())
+
+		return
+	}
+
+	var v Record
+	if err := wire.Unmarshal(k.Value(), &v); err != nil || v.Peer.VM != k.Key() {
+		m.logger.Warn().Str("event", "member_rejected").Str("key", k.Key()).Err(err).Msg("a record names no daemon")
+
+		return
+	}
+
+	m.roster.Put(v, m.clock())
+	m.learn(v.Peer)
+}
+
+// Run announces this daemon until ctx ends.
+func (m *Members) Run(ctx context.Context) error {
+	b, err := wire.Marshal(m.self)
+	if err != nil {
+		return err
+	}
+
+	own := []stream.Keyed{stream.NewKeyed(0, m.self.Peer.VM, b)}
+
+	for ctx.Err() == nil {
+		wait := announceRetry
+
+		if o, err := m.append(ctx, own); err == nil {
+			m.logger.Info().Str("event", "announced").Int64("offset", o).Msg("this daemon is recorded in the log")
+			m.Sweep(ctx)
+
+			wait = RenewEvery/2 + rand.N(RenewEvery) //nolint:gosec,mnd // daemons that start together spread their records
+		}
+
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
+
+	return nil
+}
+
+// Sweep drops the records of VMs that are gone. One daemon does it; two whose lists differ do no harm, as a daemon that
+// lives announces itself again.
+func (m *Members) Sweep(ctx context.Context) {
+	var names []string
+	for _, v := range m.Listed() {
+		names = append(names, v.Peer.VM)
+	}
+
+	if shard.First(m.stream, names) != m.self.Peer.VM {
+		return
+	}
+
+	var l []stream.Keyed
+	for _, v := range m.roster.Lapsed(m.clock()) {
+		l = append(l, stream.NewKeyed(0, v.Peer.VM, nil))
+	}
+
+	if len(l) == 0 {
+		return
+	}
+
+	_, err := m.append(ctx, l)
+	m.logger.Info().Str("event", "members_dropped").Int("count", len(l)).Err(err).Msg("records of daemons that are gone were dropped")
+}
+
+func (m *Members) append(ctx context.Context, l []stream.Keyed) (int64, error) {
+	x, stop := context.WithTimeout(ctx, announceWithin)
+	defer stop()
+
+	return m.log.Append(x, m.stream, 0, l, stream.Anywhere)
+}
--- /dev/null
+++ b/mesh/members_test.go
@@ -0,0 +1,129 @@
+package mesh_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agategap/agategap/mesh"
+	"github.com/agategap/agategap/stream"
+)
+
+// recordLog takes appends, all but the first few.
+type recordLog struct {
+	mu      sync.Mutex
+	refused int
+	records []stream.Keyed
+}
+
+func (l *recordLog) Append(_ context.Context, _ string, _ int, r []stream.Keyed, _ int64) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if l.refused > 0 {
+		l.refused--
+
+		return 0, stream.ErrRefused
+	}
+
+	for _, k := range r {
+		l.records = append(l.records, k.At(int64(len(l.records))))
+	}
+
+	return int64(len(l.records) - len(r)), nil
+}
+
+func (l *recordLog) taken() []stream.Keyed {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return append([]stream.Keyed(nil), l.records...)
+}
+
+// Guards against a daemon that nobody finds as its first record was refused, and against records of VMs that are gone
+// which stay in the log for good.
+func TestMembers(t *testing.T) {
+	Convey("Given two daemons that share a log", t, func() {
+		l := &recordLog{refused: 1}
+		now := at(0)
+
+		var learnt []string
+
+		member := func(vm string) *mesh.Members {
+			m := mesh.NewMembers(l, "members", mesh.Record{Peer: peer(vm, 1), Region: "r", Operator: vm + ":2"},
+				func(p mesh.Peer) { learnt = append(learnt, p.VM) }, func() time.Time { return now }, zerolog.Nop())
+			m.Outage(false, now)
+
+			return m
+		}
+		announce := func(m *mesh.Members, records int) {
+			ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+			done := make(chan struct{})
+
+			go func() {
+				defer close(done)
+
+				_ = m.Run(ctx)
+			}()
+
+			for len(l.taken()) < records && ctx.Err() == nil {
+				time.Sleep(time.Millisecond)
+			}
+
+			stop()
+			<-done
+		}
+
+		a, b := member("a"), member("b")
+		announce(a, 1)
+		announce(b, 2)
+		So(l.taken(), ShouldHaveLength, 2)
+
+		for _, k := range l.taken() {
+			a.Apply(k)
+			b.Apply(k)
+		}
+
+		So(a.Listed(), ShouldHaveLength, 2)
+		So(a.Listed()[1].Operator, ShouldEqual, "b:2")
+		So(learnt, ShouldResemble, []string{"a", "a", "b", "b"})
+
+		Convey("records that name no daemon change nothing", func() {
+			a.Apply(stream.NewKeyed(2, "c", []byte("?")))
+			a.Apply(stream.NewKeyed(3, "", nil))
+			So(a.Listed(), ShouldHaveLength, 2)
+		})
+
+		Convey("the record of one that is gone is dropped, and the others stop listing it", func() {
+			now = at(11 * 60_000)
+
+			a.Apply(l.taken()[0]) // announces itself again
+			a.Sweep(context.Background())
+			So(l.taken(), ShouldHaveLength, 3)
+			So(l.taken()[2].Key(), ShouldEqual, "b")
+			So(l.taken()[2].Value(), ShouldBeEmpty)
+
+			a.Apply(l.taken()[2])
+			So(a.Listed(), ShouldHaveLength, 1)
+			a.Sweep(context.Background())
+			So(l.taken(), ShouldHaveLength, 3)
+		})
+
+		Convey("a listing without a record takes it away", func() {
+			a.Reset(l.taken()[1:])
+			So(a.Listed(), ShouldHaveLength, 1)
+		})
+
+		Convey("a daemon that is not the first of those that live drops nothing", func() {
+			now = at(11 * 60_000)
+
+			b.Apply(l.taken()[0])
+			b.Sweep(context.Background())
+			So(l.taken(), ShouldHaveLength, 2)
+		})
+	})
+}
--- a/soak/world.go
+++ b/soak/world.go
@@ -96,7 +96,7 @@
 
 // newWorld builds a deployment and starts its daemons.
 func newWorld(ctx context.Context, o Options) (*world, error) {
-	w := &world{program: o.Program, dir: o.Dir, store: store.New(o.Seed)}
+	w := &world{program: o.Program, dir: o.Dir, store: store.New(store.Options{Seed: o.Seed})}
 
 	a, err := w.serve(w.store.Handler())
 	if err != nil {
--- a/standin/store/records.go
+++ b/standin/store/records.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -43,11 +45,44 @@
 	Zone    string `json:"zone"`
 	Version string `json:"version"`
 	Slots   int    `json:"slots"`
-	State   string `json:"state"` // ready or draining
+	State   string `json:"state"` // Ready or Draining
 	Born    int64  `json:"born"`
 	Number  int64  `json:"seq_no"`
 }
 
+// States of an entry.
+const (
+	Ready    = "ready"
+	Draining = "draining"
+)
+
+// PutEntries replaces the entries of all workers, by id.
+func (s *Store) PutEntries(l map[string]Entry) error {
+	for _, id := range s.keys(workersTopic) {
+		if _, ok := l[id]; !ok {
+			s.Put(workersTopic, id, nil)
+		}
+	}
+
+	for id, e := range l {
+		if err := s.PutEntry(id, e); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+// keys returns the keys of a topic.
+func (s *Store) keys(topic string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return slices.Collect(maps.Keys(s.partition(topic, "0").newest))
+}
+
+const workersTopic = "keyed.servers"
+
 // PutEntry writes the entry of a worker, as it does itself.
 func (s *Store) PutEntry(id string, e Entry) error {
 	e.Version, e.Born, e.Number = "v1", 1, time.Now().UnixMilli()
@@ -57,7 +92,7 @@
 		return err
 	}
 
-	s.Put("keyed.servers", id, b)
+	s.Put(workersTopic, id, b)
 
 	return nil
 }
