Let daemons that know no targets hand out no slots

Cause: a daemon that starts while the store is away knows no targets. It answers heartbeats, so that it can be the first choice for handing out the slots of a service, and then refuses all requests of all daemons. Change: heartbeats tell whether a daemon knows a target that may get work; those that do not come last for duties.

--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -94,7 +94,7 @@
 		VM: d.settings.VM, Address: d.PeerAddress(), Domain: d.settings.FailureDomain, Start: time.Now().UnixMilli(),
 		Power: int(d.settings.Processor * milli),
 	}
-	table := mesh.New(self)
+	table := mesh.New(self).WithAble(func() bool { return d.targets.Any(time.Now()) })
 	d.mesh = mesh.NewMesh(table, d.client, d.settings.Peers, d.logger)
 
 	store := platform.NewStore(d.settings.Platform)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -230,6 +231,23 @@
 	)
 }
 
+// Any reports whether a target may get work.
+func (r *Registry) Any(now time.Time) bool {
+	for i := range r.shards {
+		h := &r.shards[i]
+
+		h.mu.Lock()
+		l := slices.Collect(maps.Values(h.entries))
+		h.mu.Unlock()
+
+		if slices.ContainsFunc(l, func(e entry) bool { return r.usable(e, now) }) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // Listed returns all targets that may get work or are leaving, in order of name.
 func (r *Registry) Listed(now time.Time) []Target {
 	return r.list(
--- a/mesh/rank.go
+++ b/mesh/rank.go
@@ -62,9 +62,10 @@
 	r.l[duty] = ranking{peers: l, at: now}
 }
 
-// Ranked returns the daemons that may do a duty, the first choice first: those with the most processor time, and among
-// equals by a rendezvous hash. A small VM may need all of its time for the requests of its own callers. This daemon is
-// among them unless it is leaving and another one is live. The list must not be changed.
+// Ranked returns the daemons that may do a duty, the first choice first: those that are able to before those that have
+// started while the log is away, then those with the most processor time, and among equals by a rendezvous hash. A small
+// VM may need all of its time for the requests of its own callers. This daemon is among them unless it is leaving and
+// another one is live. The list must not be changed.
 func (t *Table) Ranked(duty string, now time.Time) []Peer {
 	l, n := t.ranks.get(duty, now)
 	if l != nil {
@@ -77,6 +78,16 @@
 	}
 
 	l = rank(duty, l)
+	slices.SortStableFunc(l, func(a, b Peer) int {
+		switch {
+		case a.Unable == b.Unable:
+			return 0
+		case b.Unable:
+			return -1
+		default:
+			return 1
+		}
+	})
 	t.ranks.put(duty, l, now, n)
 
 	return l
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -41,6 +41,7 @@
 	Power   int    `msgpack:"power"`   // processor time of the VM, in thousandths of a core
 	Start   int64  `msgpack:"start"`   // start of the process, Unix milliseconds; tells incarnations apart
 	Leaving bool   `msgpack:"leaving"` // the daemon is shutting down
+	Unable  bool   `msgpack:"unable"`  // the daemon knows no targets, without which it cannot do a duty for others
 	Parts   uint64 `msgpack:"parts"`   // partitions that the daemon follows, as bits; those above 63 begin again at 0
 }
 
@@ -48,6 +49,7 @@
 type Table struct {
 	mu     sync.Mutex
 	self   Peer
+	able   func() bool
 	since  time.Time // when this daemon started, or went on after a pause
 	shards [tableShards]tableShard
 	ranks  ranks
@@ -67,7 +69,16 @@
 }
 
 // New returns the table of a daemon that knows only itself.
-func New(self Peer) *Table { return &Table{self: self, since: time.UnixMilli(self.Start)} }
+func New(self Peer) *Table {
+	return &Table{self: self, able: func() bool { return true }, since: time.UnixMilli(self.Start)}
+}
+
+// WithAble has f say whether this daemon can do duties for others. It is to be called before the table is used.
+func (t *Table) WithAble(f func() bool) *Table {
+	t.able = f
+
+	return t
+}
 
 // Paused records that this daemon was paused until now, so that the silence of others says nothing.
 func (t *Table) Paused(now time.Time) {
@@ -87,10 +98,15 @@
 
 // Self returns this daemon.
 func (t *Table) Self() Peer {
+	able := t.able()
+
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	return t.self
+	p := t.self
+	p.Unable = !able
+
+	return p
 }
 
 // Leave makes this daemon report itself as leaving.
@@ -151,12 +167,12 @@
 	defer h.mu.Unlock()
 
 	if s, ok := h.peers[p.VM]; ok && s.peer.Start == p.Start {
-		if s.failed || s.heard.IsZero() || p.Leaving != s.peer.Leaving {
+		if s.failed || s.heard.IsZero() || p.Leaving != s.peer.Leaving || p.Unable != s.peer.Unable {
 			t.ranks.clear()
 		}
 
 		s.heard, s.failed = now, false
-		s.peer.Parts = p.Parts
+		s.peer.Parts, s.peer.Unable = p.Parts, p.Unable
 		s.peer.Leaving = s.peer.Leaving || p.Leaving
 	}
 }
--- a/mesh/table_test.go
+++ b/mesh/table_test.go
@@ -37,6 +37,31 @@
 		So(vms(x.Live(at(10))), ShouldResemble, []string{"b", "c"})
 		So(x.Ranked("duty", at(10)), ShouldHaveLength, 3)
 
+		Convey("those that are not able to do duties come last", func() {
+			before := vms(x.Ranked("duty", at(10)))
+
+			for _, vm := range []string{"b", "c"} {
+				p := peer(vm, 1)
+				p.Unable = true
+				x.Heard(p, at(20))
+				So(x.Ranked("duty", at(20))[2].Unable, ShouldBeTrue)
+			}
+
+			So(x.Ranked("duty", at(20))[0].VM, ShouldEqual, "self")
+
+			x.Heard(peer("b", 1), at(30))
+			x.Heard(peer("c", 1), at(30))
+			So(vms(x.Ranked("duty", at(30))), ShouldResemble, before)
+		})
+
+		Convey("this daemon comes last while it is not able to", func() {
+			able := false
+			y := mesh.New(peer("self", 1)).WithAble(func() bool { return able })
+			y.Heard(peer("b", 1), at(0))
+			So(vms(y.Ranked("duty", at(10))), ShouldResemble, []string{"b", "self"})
+			So(y.Self().Unable, ShouldBeTrue)
+		})
+
 		Convey("one that failed a call is passed over until it answers", func() {
 			x.Failed("b")
 			So(vms(x.Live(at(10))), ShouldResemble, []string{"c"})
