Let a daemon that starts while the store is away serve with what others know

Cause: a daemon that starts during an outage of the store has neither routes nor entries of targets and stays out of service until the store is back, although all others serve. Change: it asks the others in turn for the version of the routes and the entries of targets (package bootstrap). What the log shows once it is read goes before that; only entries that lapsed around an outage are still taken then. It is ready although partitions of jobs cannot be loaded, as calls about jobs go to others, and follows its shares once the mesh knows other daemons. A sink's Reset gets the end of the listing: a removal was taken to be at the highest offset of what was left.

--- a/batch/replica.go
+++ b/batch/replica.go
@@ -52,7 +52,7 @@
 }
 
 // Reset replaces the state by the newest record of each key.
-func (r *Replica) Reset(l []stream.Keyed) {
+func (r *Replica) Reset(l []stream.Keyed, _ int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
--- a/batches/batches.go
+++ b/batches/batches.go
@@ -52,7 +52,7 @@
 	logger  zerolog.Logger
 	shards  []followed
 	settled chan struct{} // closed once it is decided which partitions are followed
-	ready   atomic.Bool   // all partitions were loaded once
+	ready   atomic.Bool   // Ready was true once
 	changed chan struct{} // has a value when a job changed
 }
 
@@ -70,9 +70,9 @@
 	}
 }
 
-// Loaded reports whether all partitions that this daemon followed at its start are loaded. Those that it follows later are
-// served by other daemons until they are loaded.
-func (b *Batches) Loaded() bool {
+// Ready reports whether calls about jobs can be served: all partitions that this daemon followed at its start are loaded, or
+// cannot be as the log is not available. Partitions that are loaded later are served by other daemons meanwhile.
+func (b *Batches) Ready() bool {
 	if b.ready.Load() {
 		return true
 	}
@@ -84,7 +84,7 @@
 	}
 
 	for _, p := range b.copies() {
-		if !p.follower.Loaded() {
+		if !p.follower.Loaded() && !p.follower.Down() {
 			return false
 		}
 	}
--- /dev/null
+++ b/bootstrap/bootstrap_test.go
@@ -0,0 +1,94 @@
+package bootstrap_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agategap/agategap/bootstrap"
+	"github.com/agategap/agategap/fleet"
+	"github.com/agategap/agategap/mesh"
+)
+
+// routes has a version whose encoding is one byte, the version.
+type routes struct {
+	mu      sync.Mutex
+	version byte
+}
+
+func (r *routes) Version() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return int64(r.version)
+}
+
+func (r *routes) Encoded() []byte { return []byte{byte(r.Version())} }
+
+func (r *routes) Adopt(b []byte) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.version = max(r.version, b[0])
+
+	return nil
+}
+
+// peers are daemons by address; those without a service do not answer.
+type peers map[string]*bootstrap.Bootstrap
+
+func (p peers) Live(time.Time) []mesh.Peer {
+	return []mesh.Peer{{VM: "a", Address: "a"}, {VM: "b", Address: "b"}, {VM: "c", Address: "c"}}
+}
+
+func (p peers) Call(_ context.Context, address, _ string, q, a any) error {
+	if b := p[address]; b != nil {
+		return b.State(q.(bootstrap.StateRequest), a.(*bootstrap.StateReply))
+	}
+
+	return errors.New("no answer")
+}
+
+// Guards against a daemon that starts while the log is away and cannot serve, although others could tell it all that it
+// needs, as the one that it asked knew nothing or did not answer.
+func TestBootstrap(t *testing.T) {
+	Convey("Given one daemon that is down, one that knows nothing and one that serves", t, func() {
+		var old, fresh fleet.Registry
+
+		old.Put(fleet.NewTarget("t", "10.0.0.1:80", "a", "s", 8), 5)
+		old.Put(fleet.NewTarget("u", "10.0.0.2:80", "a", "s", 8).WithStart(7).AsLeaving(), 6)
+		old.Read()
+
+		p := peers{}
+		p["b"] = bootstrap.New(p, p, &routes{}, &fleet.Registry{}, zerolog.Nop())
+		p["c"] = bootstrap.New(p, p, &routes{version: 4}, &old, zerolog.Nop())
+
+		Convey("a new one has the routes and the targets soon, and goes on until it is stopped", func() {
+			r := &routes{}
+			b := bootstrap.New(p, p, r, &fresh, zerolog.Nop())
+
+			ctx, stop := context.WithCancel(context.Background())
+			done := make(chan error, 1)
+
+			go func() { done <- b.Run(ctx) }()
+
+			for end := time.Now().Add(5 * time.Second); r.Version() == 0 && time.Now().Before(end); {
+				time.Sleep(10 * time.Millisecond)
+			}
+
+			So(r.Version(), ShouldEqual, 4)
+
+			l := fresh.Listed(time.Now())
+			So(l, ShouldHaveLength, 2)
+			So(l, ShouldResemble, old.Listed(time.Now()))
+
+			stop()
+			So(<-done, ShouldBeNil)
+		})
+	})
+}
--- a/configs/configs.go
+++ b/configs/configs.go
@@ -49,7 +49,7 @@
 }
 
 // Reset takes the versions that the log has.
-func (c *Configs) Reset(l []stream.Keyed) {
+func (c *Configs) Reset(l []stream.Keyed, _ int64) {
 	for _, k := range inOrder(l) {
 		c.Apply(k)
 	}
--- a/configs/publisher.go
+++ b/configs/publisher.go
@@ -132,7 +132,7 @@
 }
 
 // Reset takes the versions that the log has.
-func (h *history) Reset(l []stream.Keyed) {
+func (h *history) Reset(l []stream.Keyed, _ int64) {
 	for _, k := range inOrder(l) {
 		h.Apply(k)
 	}
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -17,6 +17,7 @@
 
 	"github.com/agategap/agategap/batch"
 	"github.com/agategap/agategap/batches"
+	"github.com/agategap/agategap/bootstrap"
 	"github.com/agategap/agategap/controller"
 	"github.com/agategap/agategap/drain"
 	"github.com/agategap/agategap/filter"
@@ -27,7 +28,6 @@
 	"github.com/agategap/agategap/operator"
 	"github.com/agategap/agategap/peer"
 	"github.com/agategap/agategap/platform"
-	"github.com/agategap/agategap/routing"
 	"github.com/agategap/agategap/settings"
 	"github.com/agategap/agategap/slots"
 )
@@ -40,7 +40,7 @@
 	metrics   *metrics
 	listeners []net.Listener
 
-	routes  routing.Current
+	routes  routes
 	targets fleet.Registry
 	mesh    *mesh.Mesh
 	owner   *slots.Owner
@@ -112,10 +112,13 @@
 		d.batches, filter.ItemChain(holder, time.Now, w, workers), &d.routes, jobPeers{Table: table, Followers: followers}, d.client, time.Now, d.logger)
 	gateway := batches.NewGateway(d.batches, followers, table, caller{client: d.client}, d.logger)
 
-	front := platform.NewFront(filter.RoutedChain(&d.routes, holder, time.Now, w, workers), &d.routes, gateway, time.Now)
+	front := platform.NewFront(filter.RoutedChain(&d.routes.Current, holder, time.Now, w, workers), &d.routes, gateway, time.Now)
+
+	start := bootstrap.New(table, d.client, &d.routes, &d.targets, d.logger)
 
 	for n, v := range map[string]any{
 		"Mesh": d.mesh, "Log": keyed.NewService(store), "Slot": d.owner, "Holder": holder, "Batch": d.runner, "Jobs": batches.NewService(d.batches),
+		"Bootstrap": start,
 	} {
 		if err := d.server.Register(n, v); err != nil {
 			d.logger.Error().Err(err).Str("service", n).Msg("a service for other daemons cannot be registered")
@@ -137,20 +140,42 @@
 
 	assigner := batches.NewAssigner(d.batches, followers, d.runner, table, d.logger)
 	actor(&d.group, func(ctx context.Context) error {
-		select {
-		case <-records.Ready(): // the shares depend on the other daemons
-		case <-ctx.Done():
-		}
+		d.findOthers(ctx, records) // the shares depend on the other daemons
 
 		return assigner.Run(ctx)
 	})
+
 	for _, f := range []func(context.Context) error{
-		members.Run, d.mesh.Run, d.owner.Run, holder.Run, workers.Run, d.reload, func(ctx context.Context) error { return d.bounds.Run(ctx, d.logger) },
+		members.Run, start.Run, d.mesh.Run, d.owner.Run, holder.Run, workers.Run, d.reload, func(ctx context.Context) error { return d.bounds.Run(ctx, d.logger) },
 	} {
 		actor(&d.group, f)
 	}
 }
 
+const (
+	// othersWithin is how long the records of the other daemons are waited for while the log is not available. It covers
+	// a short failure; the mesh has heard of the others by then if it reaches one of them.
+	othersWithin = 2 * time.Second
+	othersTick   = 100 * time.Millisecond
+)
+
+// findOthers waits until the other daemons are known: from their records, or from those that answer while the log is not
+// available.
+func (d *Routed) findOthers(ctx context.Context, records *keyed.Follower) {
+	for start := time.Now(); ctx.Err() == nil; {
+		if records.Down() && time.Since(start) > othersWithin && len(d.mesh.Table().Live(time.Now())) > 0 {
+			return
+		}
+
+		select {
+		case <-records.Ready():
+			return
+		case <-time.After(othersTick):
+		case <-ctx.Done():
+		}
+	}
+}
+
 const (
 	// entriesPerPeer lengthens the time between two reads of the entries of targets with the number of daemons, so that
 	// up to 125 of them together make at most 250 reads a second of the few thousand that a store takes.
@@ -309,7 +334,7 @@
 		return false, "no version of the routes is known"
 	case !d.targets.Known():
 		return false, "no target is known"
-	case !d.batches.Loaded():
+	case !d.batches.Ready():
 		return false, "the batch jobs are not loaded"
 	default:
 		return true, ""
--- a/daemon/sinks.go
+++ b/daemon/sinks.go
@@ -7,16 +7,43 @@
 
 	"github.com/agategap/agategap/fleet"
 	"github.com/agategap/agategap/platform"
+	"github.com/agategap/agategap/routing"
 	"github.com/agategap/agategap/stream"
 )
 
+// routes are the routes in force. Versions come from the log and from other daemons.
+type routes struct {
+	routing.Current
+}
+
+// Encoded returns the version in force as the platform's operator wrote it; nil when there is none.
+func (r *routes) Encoded() []byte {
+	if t := r.Table(); t != nil {
+		return t.Raw()
+	}
+
+	return nil
+}
+
+// Adopt puts a version in force if it is newer.
+func (r *routes) Adopt(b []byte) error {
+	t, err := platform.DecodeConfig(b)
+	if err != nil {
+		return err
+	}
+
+	r.Offer(t)
+
+	return nil
+}
+
 // routeSink puts versions of the routes in force.
 type routeSink struct {
 	routed *Routed
 }
 
 // Reset takes the newest version.
-func (s *routeSink) Reset(l []stream.Keyed) {
+func (s *routeSink) Reset(l []stream.Keyed, _ int64) {
 	for _, k := range l {
 		s.Apply(k)
 	}
@@ -50,25 +77,22 @@
 }
 
 // Reset compares the entries with those that are known, as removals may be among the records that were missed.
-func (s *targetSink) Reset(l []stream.Keyed) {
-	seen := map[string]bool{}
+func (s *targetSink) Reset(l []stream.Keyed, end int64) {
+	s.targets.Read()
 
-	end := int64(0)
+	seen := map[string]bool{}
 
 	for _, k := range l {
 		seen[k.Key()] = true
-		end = max(end, k.Offset()+1)
 
 		s.Apply(k)
 	}
 
 	for _, n := range s.targets.Names() {
 		if !seen[n] {
-			s.remove(n, end)
+			s.remove(n, end-1) // the removal is before the end
 		}
 	}
-
-	s.targets.Read()
 }
 
 // Apply takes an entry. One that cannot be read names no target.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -72,6 +71,9 @@
 type Registry struct {
 	shards [registryShards]registryShard
 
+	imports sync.Mutex // held during an import, so that it ends before the log is read
+	read    bool       // whether the log was read once
+
 	mu     sync.Mutex
 	known  bool
 	outage time.Time // when the log was last known to be unavailable
@@ -83,6 +85,28 @@
 	entries map[string]entry
 }
 
+// Entry is the entry of a target as one daemon passes it on to another.
+type Entry struct {
+	target Target
+	offset int64
+	lapsed bool
+}
+
+// NewEntry returns the entry of a target at an offset of the log. lapsed means that it vanished around an outage of the
+// log and still counts.
+func NewEntry(t Target, offset int64, lapsed bool) Entry {
+	return Entry{target: t, offset: offset, lapsed: lapsed}
+}
+
+// Target returns the target.
+func (e Entry) Target() Target { return e.target }
+
+// Offset returns the offset of the entry, or of its removal.
+func (e Entry) Offset() int64 { return e.offset }
+
+// Lapsed reports whether the entry vanished around an outage of the log.
+func (e Entry) Lapsed() bool { return e.lapsed }
+
 // entry is a target's entry. lapsed is when it vanished around an outage of the log; zero while it stands.
 type entry struct {
 	target Target
@@ -94,15 +118,23 @@
 	return &r.shards[shard.Index(name, registryShards)]
 }
 
-// Read records that all entries were read once, even if there are none.
+// Read records that the entries are read from the log, even if there are none. Entries of other daemons count no more.
 func (r *Registry) Read() {
+	r.imports.Lock()
+	r.read = true
+	r.imports.Unlock()
+
+	r.learn()
+}
+
+func (r *Registry) learn() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
 	r.known = true
 }
 
-// Known reports whether the entries were read at least once.
+// Known reports whether the entries were read at least once, or taken from another daemon.
 func (r *Registry) Known() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -134,6 +166,10 @@
 // Put records the entry of a target at an offset of the log. Older entries are ignored. It reports whether something
 // about the target changed.
 func (r *Registry) Put(t Target, offset int64) bool {
+	return r.put(t, offset, time.Time{})
+}
+
+func (r *Registry) put(t Target, offset int64, lapsed time.Time) bool {
 	h := r.shard(t.name)
 
 	h.mu.Lock()
@@ -148,11 +184,44 @@
 		h.entries = map[string]entry{}
 	}
 
-	h.entries[t.name] = entry{target: t, offset: offset}
+	h.entries[t.name] = entry{target: t, offset: offset, lapsed: lapsed}
 
 	return !ok || e.target != t || !e.lapsed.IsZero()
 }
 
+// Export returns the entries of all targets that count.
+func (r *Registry) Export(now time.Time) []Entry {
+	var l []Entry
+
+	for _, e := range r.entries(func(Target) bool { return true }) {
+		if e.target.leaving || r.usable(e, now) {
+			l = append(l, Entry{target: e.target, offset: e.offset, lapsed: !e.lapsed.IsZero()})
+		}
+	}
+
+	return l
+}
+
+// Import takes the entries that another daemon has: all of them while the log was not read, and later those that lapsed
+// around an outage of the log that may not be over. What the log shows as removed stays so.
+func (r *Registry) Import(l []Entry, now time.Time) {
+	r.imports.Lock()
+	defer r.imports.Unlock()
+
+	lapses := r.lapses(now)
+
+	for _, e := range l {
+		switch {
+		case e.lapsed && (lapses || !r.read):
+			r.put(e.target, e.offset, now)
+		case !e.lapsed && !r.read:
+			r.put(e.target, e.offset, time.Time{})
+		}
+	}
+
+	r.learn()
+}
+
 // Remove records that the entry of a target is gone.
 func (r *Registry) Remove(name string, offset int64, now time.Time) {
 	lapsed := r.lapses(now)
@@ -233,19 +302,7 @@
 
 // Any reports whether a target may get work.
 func (r *Registry) Any(now time.Time) bool {
-	for i := range r.shards {
-		h := &r.shards[i]
-
-		h.mu.Lock()
-		l := slices.Collect(maps.Values(h.entries))
-		h.mu.Unlock()
-
-		if slices.ContainsFunc(l, func(e entry) bool { return r.usable(e, now) }) {
-			return true
-		}
-	}
-
-	return false
+	return slices.ContainsFunc(r.entries(func(Target) bool { return true }), func(e entry) bool { return r.usable(e, now) })
 }
 
 // Listed returns all targets that may get work or are leaving, in order of name.
@@ -256,31 +313,36 @@
 	)
 }
 
-// list returns the targets that belong to a list, and whose entries count, in order of name. belongs is called under
-// the lock of a shard, counts is not.
+// list returns the targets that belong to a list, and whose entries count, in order of name.
 func (r *Registry) list(belongs func(t Target) bool, counts func(e entry) bool) []Target {
 	var l []Target
 
+	for _, e := range r.entries(belongs) {
+		if counts(e) {
+			l = append(l, e.target)
+		}
+	}
+
+	slices.SortFunc(l, func(a, b Target) int { return cmp.Compare(a.name, b.name) })
+
+	return l
+}
+
+// entries returns the entries of the targets that belong to a list. belongs is called under the lock of a shard.
+func (r *Registry) entries(belongs func(t Target) bool) []entry {
+	var l []entry
+
 	for i := range r.shards {
 		h := &r.shards[i]
 
 		h.mu.Lock()
-		var s []entry
 		for _, e := range h.entries {
 			if belongs(e.target) {
-				s = append(s, e)
+				l = append(l, e)
 			}
 		}
 		h.mu.Unlock()
-
-		for _, e := range s {
-			if counts(e) {
-				l = append(l, e.target)
-			}
-		}
 	}
 
-	slices.SortFunc(l, func(a, b Target) int { return cmp.Compare(a.name, b.name) })
-
 	return l
 }
--- /dev/null
+++ b/fleet/import_test.go
@@ -0,0 +1,74 @@
+package fleet_test
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agategap/agategap/fleet"
+)
+
+// Guards against a daemon that starts while the log is away and knows no targets, and against targets that another
+// daemon still has although the log shows that they are gone.
+func TestImport(t *testing.T) {
+	Convey("Given a daemon with a live, a leaving and a lapsed target", t, func() {
+		var o fleet.Registry
+
+		o.Put(target("live"), 1)
+		o.Put(target("leaving").AsLeaving(), 2)
+		o.Put(target("lapsed"), 3)
+		o.Outage(true, at(9))
+		o.Remove("lapsed", 8, at(10))
+
+		l := o.Export(at(10))
+		So(l, ShouldHaveLength, 3)
+
+		Convey("one that has not read the log uses the same targets", func() {
+			var r fleet.Registry
+
+			So(r.Any(at(10)), ShouldBeFalse)
+			r.Import(l, at(10))
+			r.Outage(true, at(10))
+			So(r.Known(), ShouldBeTrue)
+			So(r.Any(at(11)), ShouldBeTrue)
+			So(names(r.Usable("s", at(11))), ShouldResemble, []string{"lapsed", "live"})
+			So(names(r.Listed(at(11))), ShouldResemble, []string{"lapsed", "leaving", "live"})
+
+			Convey("until the log shows that they are gone", func() {
+				r.Outage(false, at(20))
+				r.Read()
+				r.Put(target("live"), 9)
+
+				for _, n := range []string{"leaving", "lapsed"} {
+					r.Remove(n, 12, at(20.1))
+				}
+
+				So(names(r.Usable("s", at(20.1))), ShouldResemble, []string{"lapsed", "live"})
+				So(names(r.Usable("s", at(22.2))), ShouldResemble, []string{"live"})
+			})
+		})
+
+		Convey("one that has read the log takes only what lapsed, and only around an outage", func() {
+			var r fleet.Registry
+
+			r.Read()
+			r.Import(l, at(10))
+			So(names(r.Listed(at(10))), ShouldBeEmpty)
+
+			r.Outage(true, at(11))
+			r.Import(l, at(11))
+			So(names(r.Usable("s", at(11))), ShouldResemble, []string{"lapsed"})
+
+			r.Outage(false, at(12))
+			So(names(r.Usable("s", at(15))), ShouldBeEmpty)
+		})
+
+		Convey("an older entry does not replace a newer one", func() {
+			var r fleet.Registry
+
+			r.Put(target("live").AsLeaving(), 7)
+			r.Import(l, at(10))
+			So(names(r.Usable("s", at(10))), ShouldResemble, []string{"lapsed"})
+		})
+	})
+}
--- a/internal/cmd/daemons.go
+++ b/internal/cmd/daemons.go
@@ -108,7 +108,7 @@
 type memberRecords []string
 
 // Reset takes the records of all daemons.
-func (r *memberRecords) Reset(l []stream.Keyed) {
+func (r *memberRecords) Reset(l []stream.Keyed, _ int64) {
 	for _, k := range l {
 		r.Apply(k)
 	}
--- a/keyed/follower.go
+++ b/keyed/follower.go
@@ -23,8 +23,9 @@
 
 // Sink takes the records of a stream in order.
 type Sink interface {
-	// Reset replaces everything by the newest record of each key. The records have no order.
-	Reset(l []stream.Keyed)
+	// Reset replaces everything by the newest record of each key before an offset. The records have no order, and some
+	// may be from behind the offset.
+	Reset(l []stream.Keyed, end int64)
 	// Apply adds a record. Its key is empty when the record cannot be read, its value when the key is dropped.
 	Apply(k stream.Keyed)
 }
@@ -95,6 +96,14 @@
 	return f.loaded
 }
 
+// Down reports whether the last read failed.
+func (f *Follower) Down() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.down
+}
+
 // Next returns the offset behind the last record that was applied.
 func (f *Follower) Next() int64 {
 	f.mu.Lock()
@@ -324,7 +333,7 @@
 		return nil // another call has read on meanwhile
 	}
 
-	f.sink.Reset(g.records)
+	f.sink.Reset(g.records, g.end)
 	f.next = g.end
 
 	if g.begun.After(f.fresh) {
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -48,7 +48,7 @@
 func (m *Members) Outage(down bool, now time.Time) { m.roster.Outage(down, now) }
 
 // Reset takes all records.
-func (m *Members) Reset(l []stream.Keyed) {
+func (m *Members) Reset(l []stream.Keyed, _ int64) {
 	on := map[string]bool{}
 
 	for _, k := range l {
