Look at the targets again only when their entries change

Cause: a daemon that hands out slots made its list of targets anew 40 times a second. The digest of the known daemons was made anew for each heartbeat, with a formatted time for each daemon. Change: the registry has a version that changes with the targets that may get work; entries that lapsed are forgotten when their hold is over. The mesh's shards keep their digest and count. Whether a daemon knows targets, which each request asks for, no longer copies all entries.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/agategap/agategap/shard"
@@ -74,6 +75,9 @@
 	imports sync.Mutex // held during an import, so that it ends before the log is read
 	read    bool       // whether the log was read once
 
+	changes atomic.Int64 // number of changes of entries
+	lapsed  atomic.Int64 // number of entries that vanished around an outage and are remembered
+
 	mu     sync.Mutex
 	known  bool
 	outage time.Time // when the log was last known to be unavailable
@@ -146,13 +150,34 @@
 // while, as live targets write theirs again.
 func (r *Registry) Outage(down bool, now time.Time) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 
 	if down || r.down {
 		r.outage = now
 	}
 
 	r.down = down
+	over := !down && now.Sub(r.outage) >= lapseHold
+	r.mu.Unlock()
+
+	if over && r.lapsed.Load() > 0 {
+		r.forget(now)
+	}
+}
+
+// forget drops the entries that lapsed and were not written again in time.
+func (r *Registry) forget(now time.Time) {
+	for i := range r.shards {
+		h := &r.shards[i]
+
+		h.mu.Lock()
+		for n, e := range h.entries {
+			if !e.lapsed.IsZero() && now.Sub(e.lapsed) >= lapseHold {
+				r.count(e.lapsed, time.Time{})
+				delete(h.entries, n)
+			}
+		}
+		h.mu.Unlock()
+	}
 }
 
 // lapses reports whether an entry that vanishes now may belong to a live target.
@@ -186,7 +211,38 @@
 
 	h.entries[t.name] = entry{target: t, offset: offset, lapsed: lapsed}
 
-	return !ok || e.target != t || !e.lapsed.IsZero()
+	if ok && e.target == t && e.lapsed.IsZero() && lapsed.IsZero() {
+		return false
+	}
+
+	r.count(e.lapsed, lapsed)
+
+	return true
+}
+
+// count records a change of an entry, which had lapsed at a time before and has lapsed at another one now.
+func (r *Registry) count(before, now time.Time) {
+	r.changes.Add(1)
+
+	switch {
+	case before.IsZero() && !now.IsZero():
+		r.lapsed.Add(1)
+	case !before.IsZero() && now.IsZero():
+		r.lapsed.Add(-1)
+	}
+}
+
+// lapseTick is the precision with which entries that lapsed stop counting.
+const lapseTick = 100 * time.Millisecond
+
+// Version returns a number that differs when other targets may get work than before.
+func (r *Registry) Version(now time.Time) int64 {
+	n := r.changes.Load()
+	if r.lapsed.Load() == 0 {
+		return n
+	}
+
+	return n ^ now.UnixNano()/int64(lapseTick)<<32
 }
 
 // Export returns the entries of all targets that count.
@@ -232,9 +288,12 @@
 
 	if e, ok := h.entries[name]; ok && offset > e.offset {
 		if lapsed && !e.target.leaving {
+			r.count(e.lapsed, now)
+
 			e.lapsed, e.offset = now, offset
 			h.entries[name] = e
 		} else {
+			r.count(e.lapsed, time.Time{})
 			delete(h.entries, name)
 		}
 	}
@@ -300,11 +359,31 @@
 	)
 }
 
-// Any reports whether a target may get work.
+// Any reports whether a target may get work. It is called for every request.
 func (r *Registry) Any(now time.Time) bool {
+	for i := range r.shards {
+		if r.shards[i].stands() {
+			return true
+		}
+	}
+
 	return slices.ContainsFunc(r.entries(func(Target) bool { return true }), func(e entry) bool { return r.usable(e, now) })
 }
 
+// stands reports whether a shard has a target whose entry stands and that is not leaving.
+func (h *registryShard) stands() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	for _, e := range h.entries {
+		if !e.target.leaving && e.lapsed.IsZero() {
+			return true
+		}
+	}
+
+	return false
+}
+
 // Listed returns all targets that may get work or are leaving, in order of name.
 func (r *Registry) Listed(now time.Time) []Target {
 	return r.list(
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -85,3 +85,45 @@
 		})
 	})
 }
+
+// Guards against work for targets that are gone, or none for new ones, as nobody looked at the entries again.
+func TestVersion(t *testing.T) {
+	Convey("The version changes whenever other targets may get work", t, func() {
+		var r fleet.Registry
+
+		last := r.Version(at(0))
+		differs := func(now time.Time) bool {
+			v := r.Version(now)
+			d := v != last
+			last = v
+
+			return d
+		}
+
+		r.Put(target("a"), 1)
+		So(differs(at(1)), ShouldBeTrue)
+		r.Put(target("a"), 2)
+		So(differs(at(2)), ShouldBeFalse)
+		r.Put(target("a").AsLeaving(), 3)
+		So(differs(at(3)), ShouldBeTrue)
+		r.Remove("a", 4, at(4))
+		So(differs(at(4)), ShouldBeTrue)
+		So(differs(at(5)), ShouldBeFalse)
+
+		Convey("also when entries that lapsed stop counting, and no more once they are forgotten", func() {
+			r.Put(target("b"), 5)
+			r.Outage(true, at(6))
+			r.Remove("b", 6, at(7))
+			So(differs(at(7)), ShouldBeTrue)
+			r.Outage(false, at(8))
+			So(names(r.Usable("s", at(9))), ShouldResemble, []string{"b"})
+			So(differs(at(10.1)), ShouldBeTrue)
+			So(names(r.Usable("s", at(10.1))), ShouldBeEmpty)
+
+			r.Outage(false, at(10.2))
+			So(differs(at(10.3)), ShouldBeTrue)
+			So(differs(at(11)), ShouldBeFalse)
+			So(r.Names(), ShouldBeEmpty)
+		})
+	})
+}
--- a/mesh/share.go
+++ b/mesh/share.go
@@ -8,9 +8,7 @@
 // Share returns the daemons that share a duty: the first choices of each failure domain, so that each domain that is cut
 // off can go on. A daemon that is silent for a short time keeps its share, as the duty is costly to take over.
 func (t *Table) Share(duty string, each int, now time.Time) []Peer {
-	n := 0
-	t.each(func(state) { n++ })
-
+	n := t.count()
 	settled, self := t.settled(now), t.Self()
 	var l []Peer
 
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"sync"
 	"time"
@@ -56,8 +57,39 @@
 }
 
 type tableShard struct {
-	mu    sync.Mutex
-	peers map[string]*state
+	mu     sync.Mutex
+	peers  map[string]*state
+	digest uint64 // of the incarnations of peers
+}
+
+// put adds a daemon or another incarnation of it. The caller holds the lock.
+func (h *tableShard) put(p Peer, now time.Time) {
+	if h.peers == nil {
+		h.peers = map[string]*state{}
+	}
+
+	h.remove(p.VM)
+	h.peers[p.VM] = &state{peer: p, added: now}
+	h.digest ^= digest(p)
+}
+
+// remove forgets a daemon. The caller holds the lock.
+func (h *tableShard) remove(vm string) {
+	if s, ok := h.peers[vm]; ok {
+		h.digest ^= digest(s.peer)
+		delete(h.peers, vm)
+	}
+}
+
+// digest returns a number that differs between incarnations of daemons.
+func digest(p Peer) uint64 {
+	var x xxhash.Digest
+
+	x.Reset()
+	_, _ = x.WriteString(p.VM)
+	_, _ = x.Write(binary.BigEndian.AppendUint64(nil, uint64(p.Start))) //nolint:gosec // any number
+
+	return x.Sum64()
 }
 
 // state is what is known of one daemon.
@@ -146,12 +178,7 @@
 		return false
 	}
 
-	if h.peers == nil {
-		h.peers = map[string]*state{}
-	}
-
-	h.peers[p.VM] = &state{peer: p, added: now}
-
+	h.put(p, now)
 	t.ranks.clear()
 
 	return true
@@ -198,7 +225,22 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	delete(h.peers, vm)
+	h.remove(vm)
+}
+
+// count returns the number of other daemons.
+func (t *Table) count() int {
+	n := 0
+
+	for i := range t.shards {
+		h := &t.shards[i]
+
+		h.mu.Lock()
+		n += len(h.peers)
+		h.mu.Unlock()
+	}
+
+	return n
 }
 
 func (t *Table) each(f func(s state)) {
@@ -241,8 +283,7 @@
 func (t *Table) Live(now time.Time) []Peer {
 	var l []Peer
 
-	n := 0
-	t.each(func(state) { n++ })
+	n := t.count()
 
 	t.each(func(s state) {
 		if !s.failed && !s.peer.Leaving && now.Sub(s.heard) <= silentAfter*Interval(n) {
@@ -262,9 +303,7 @@
 		return v.Start == start
 	}
 
-	n := 0
-	t.each(func(state) { n++ })
-
+	n := t.count()
 	settled := t.settled(now)
 	h := t.shard(vm)
 
@@ -285,21 +324,16 @@
 
 // Digest returns a number that differs between tables that know different daemons.
 func (t *Table) Digest() uint64 {
-	var d uint64
-
-	add := func(p Peer) {
-		var x xxhash.Digest
+	d := digest(t.Self())
 
-		x.Reset()
-		_, _ = x.WriteString(p.VM)
-		_, _ = x.WriteString(time.UnixMilli(p.Start).UTC().Format(time.RFC3339Nano))
+	for i := range t.shards {
+		h := &t.shards[i]
 
-		d ^= x.Sum64()
+		h.mu.Lock()
+		d ^= h.digest
+		h.mu.Unlock()
 	}
 
-	add(t.Self())
-	t.each(func(s state) { add(s.peer) })
-
 	return d
 }
 
--- a/slots/owner.go
+++ b/slots/owner.go
@@ -30,6 +30,8 @@
 // Targets knows the targets that may get work.
 type Targets interface {
 	Usable(service string, now time.Time) []fleet.Target
+	// Version returns a number that differs when Usable does.
+	Version(now time.Time) int64
 }
 
 // Receiver takes notices for this daemon.
@@ -55,6 +57,7 @@
 // owned is the pool of a service with the addresses of the daemons that use it.
 type owned struct {
 	pool      pool.Pool
+	version   int64 // of the targets in the pool; used by Run only
 	mu        sync.Mutex
 	addresses map[string]string
 }
@@ -241,8 +244,14 @@
 			return nil
 		}
 
+		v := o.targets.Version(time.Now())
+
 		for n, s := range o.all() {
-			s.pool.SetTargets(o.places(n))
+			if s.version != v {
+				s.pool.SetTargets(o.places(n))
+				s.version = v
+			}
+
 			o.deliver(n, s, s.pool.Expire(time.Now()), "")
 		}
 	}
--- a/slots/slots_test.go
+++ b/slots/slots_test.go
@@ -138,6 +138,8 @@
 	return slices.Clone(w.list)
 }
 
+func (w *workers) Version(time.Time) int64 { return int64(len(w.Usable("", time.Time{}))) }
+
 func (w *workers) Find(name string, now time.Time) (fleet.Target, bool) {
 	for _, t := range w.Usable("", now) {
 		if t.Name() == name {
