--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -51,6 +51,7 @@
 	client  *peer.Client
 	drain   *controller.Drain
 	bounds  logging.Bounds
+	flights logging.Flights
 }
 
 // idleCallers is how long a connection of a caller is kept between two requests. It exceeds the time for which
@@ -102,7 +103,7 @@
 	d.owner = slots.NewOwner(d.client, &d.targets, self.Address)
 	holder := slots.NewHolder(table, d.client, d.owner, &d.targets)
 
-	w := newWatch(d.logger, d.metrics, &d.bounds)
+	w := newWatch(d.logger, d.metrics, &d.bounds, &d.flights)
 	workers := platform.NewWorkers()
 	l := d.settings.Store
 	sizes := batches.NewSizes(l.Partitions, l.RecordBytes, l.CallBytes, l.KeepResults.Value())
@@ -147,6 +148,7 @@
 
 	for _, f := range []func(context.Context) error{
 		members.Run, start.Run, d.mesh.Run, d.owner.Run, holder.Run, workers.Run, d.reload, func(ctx context.Context) error { return d.bounds.Run(ctx, d.logger) },
+		func(ctx context.Context) error { return d.flights.Run(ctx, d.logger) },
 	} {
 		actor(&d.group, f)
 	}
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -15,15 +15,17 @@
 	logger  zerolog.Logger
 	metrics *metrics
 	bounds  *logging.Bounds
+	flights *logging.Flights
 }
 
-func newWatch(z zerolog.Logger, m *metrics, b *logging.Bounds) *watch {
-	return &watch{logger: z, metrics: m, bounds: b}
+func newWatch(z zerolog.Logger, m *metrics, b *logging.Bounds, f *logging.Flights) *watch {
+	return &watch{logger: z, metrics: m, bounds: b, flights: f}
 }
 
 // Watch takes a step.
 func (w *watch) Watch(r *filter.Request, s filter.Step) {
 	w.metrics.step(r, s)
+	w.follow(r, s)
 
 	// Every step of a request that does not go well is written, and a sample of the others.
 	kind := s.Name() + " " + r.Class().String()
@@ -53,6 +55,17 @@
 	e.Msg("a step of a request")
 }
 
+// follow keeps track of the online requests under way. Items have their progress in the log.
+func (w *watch) follow(r *filter.Request, s filter.Step) {
+	switch {
+	case r.Class() != filter.Online:
+	case s.Name() == "sent":
+		w.flights.Start(r.ID(), s.Target())
+	default:
+		w.flights.End(r.ID())
+	}
+}
+
 // step counts a step.
 func (m *metrics) step(r *filter.Request, s filter.Step) {
 	code := "ok"
--- a/internal/cmd/cmd_explain.go
+++ b/internal/cmd/cmd_explain.go
@@ -42,6 +42,9 @@
 	maxLine = 1 << 20
 	// around is the time before and after a request in which changes of a daemon's state are shown.
 	around = time.Second
+	// restart is the time after a request within which the start of its daemon is shown. A VM that lost power may take
+	// several seconds.
+	restart = 15 * time.Second
 )
 
 // logLine is a line of a daemon's log.
@@ -107,7 +110,14 @@
 		}
 	}
 
-	return false
+	return l.underWay(id) != ""
+}
+
+// underWay returns the target of a request that was under way when the line was written.
+func (l logLine) underWay(id string) string {
+	m, _ := l.fields["requests"].(map[string]any)
+
+	return field(m[id])
 }
 
 // belief are the events that change what a daemon believes, which may explain what it did to a request.
@@ -155,6 +165,7 @@
 
 	for _, l := range path {
 		targets[field(l.fields["target"])] = true
+		targets[l.underWay(id)] = true
 	}
 
 	for _, l := range all {
@@ -163,7 +174,12 @@
 			concerned = false
 		}
 
-		if concerned && l.at.After(from) && l.at.Before(to) {
+		end := to
+		if l.event == "started" {
+			end = to.Add(restart)
+		}
+
+		if concerned && l.at.After(from) && l.at.Before(end) {
 			path = append(path, l)
 		}
 	}
@@ -176,16 +192,20 @@
 			mark = "*"
 		}
 
-		e.printf("%s %s %-24s %-16s %s\n", mark, l.at.Format("15:04:05.000"), l.vm, l.event, l.details())
+		e.printf("%s %s %-24s %-16s %s\n", mark, l.at.Format("15:04:05.000"), l.vm, l.event, l.details(id))
 	}
 
 	return nil
 }
 
 // details returns the fields of a line that are not printed elsewhere.
-func (l logLine) details() string {
+func (l logLine) details(id string) string {
 	var s []string
 
+	if t := l.underWay(id); t != "" {
+		return "target=" + t
+	}
+
 	for k, v := range l.fields {
 		switch k {
 		case "time", "vm", "event", "level", "message":
