Resolve the addresses of daemons from the platform's address in one place

Cause: dump, status, config and publish each made a client of the store for it. Change: daemonAddresses takes the address. Behaviour is as before; go test ./internal/cmd passes.

--- a/internal/cmd/cmd_config.go
+++ b/internal/cmd/cmd_config.go
@@ -32,10 +32,9 @@
 			return e.usage(f, "-platform or -daemons is required")
 		}
 
-		c := configView{env: e, daemons: *d}
+		c := configView{env: e, daemons: *d, platform: *a}
 		if *a != "" {
-			c.store = platform.NewStore(*a)
-			c.publisher = configs.NewPublisher(c.store, wire.Versions{})
+			c.publisher = configs.NewPublisher(platform.NewStore(*a), wire.Versions{})
 		}
 
 		if *w {
@@ -52,7 +51,7 @@
 // configView shows versions.
 type configView struct {
 	env       Env
-	store     *platform.Store
+	platform  string
 	publisher *configs.Publisher
 	daemons   string
 }
@@ -113,7 +112,7 @@
 		l = append(l, fmt.Sprintf("# version %d, based on %d, by %s", f.Offset(), f.Version().BaseOn, f.Version().Author))
 	}
 
-	a, err := daemonAddresses(ctx, c.daemons, c.store)
+	a, err := daemonAddresses(ctx, c.daemons, c.platform)
 	if err != nil {
 		return l, err
 	}
--- a/internal/cmd/cmd_dump.go
+++ b/internal/cmd/cmd_dump.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 
 	"github.com/agategap/agategap/outcome"
-	"github.com/agategap/agategap/platform"
 )
 
 var cmdDump = &Cmd{
@@ -32,12 +31,7 @@
 			return e.usage(f, "-address, -daemons or -platform is required")
 		}
 
-		var c *platform.Store
-		if *p != "" {
-			c = platform.NewStore(*p)
-		}
-
-		a, err := daemonAddresses(ctx, *d, c)
+		a, err := daemonAddresses(ctx, *d, *p)
 		if err != nil {
 			return err
 		}
--- a/internal/cmd/cmd_publish.go
+++ b/internal/cmd/cmd_publish.go
@@ -50,9 +50,8 @@
 			return err
 		}
 
-		p.store = platform.NewStore(*a)
-		p.publisher = configs.NewPublisher(p.store, wire.Versions{})
-		p.text, p.based, p.daemons, p.path = t, *b, *d, f.Arg(0)
+		p.publisher = configs.NewPublisher(platform.NewStore(*a), wire.Versions{})
+		p.platform, p.text, p.based, p.daemons, p.path = *a, t, *b, *d, f.Arg(0)
 
 		return p.run(ctx)
 	},
@@ -65,7 +64,7 @@
 type publication struct {
 	env       Env
 	path      string
-	store     *platform.Store
+	platform  string
 	publisher *configs.Publisher
 	text      []byte
 	document  config.Document
@@ -168,7 +167,7 @@
 	x, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
 
-	a, err := daemonAddresses(x, p.daemons, p.store)
+	a, err := daemonAddresses(x, p.daemons, p.platform)
 	if err != nil {
 		return err
 	}
--- a/internal/cmd/cmd_status.go
+++ b/internal/cmd/cmd_status.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/agategap/agategap/outcome"
-	"github.com/agategap/agategap/platform"
 )
 
 var cmdStatus = &Cmd{
@@ -31,12 +30,7 @@
 			return e.usage(f, "-daemons or -platform is required")
 		}
 
-		var c *platform.Store
-		if *p != "" {
-			c = platform.NewStore(*p)
-		}
-
-		a, err := daemonAddresses(ctx, *d, c)
+		a, err := daemonAddresses(ctx, *d, *p)
 		if err != nil {
 			return err
 		}
--- a/internal/cmd/daemons.go
+++ b/internal/cmd/daemons.go
@@ -67,8 +67,9 @@
 	return d.address
 }
 
-// daemonAddresses returns the operator addresses that an operator gave, else those of the daemons' records in the log.
-func daemonAddresses(ctx context.Context, given string, c *platform.Store) ([]string, error) {
+// daemonAddresses returns the operator addresses that an operator gave, else those of the daemons' records in the log of a
+// platform, if its address is given.
+func daemonAddresses(ctx context.Context, given, platformAddress string) ([]string, error) {
 	var l []string
 
 	for a := range strings.SplitSeq(given, ",") {
@@ -83,13 +84,13 @@
 		l = append(l, a)
 	}
 
-	if len(l) > 0 || c == nil {
+	if len(l) > 0 || platformAddress == "" {
 		return l, nil
 	}
 
 	var r memberRecords
 
-	if err := keyed.New(c, platform.TopicMembers, 0, &r, zerolog.Nop()).Sync(ctx); err != nil {
+	if err := keyed.New(platform.NewStore(platformAddress), platform.TopicMembers, 0, &r, zerolog.Nop()).Sync(ctx); err != nil {
 		return nil, fmt.Errorf("the records of the daemons cannot be read; give the addresses with -daemons: %w", err)
 	}
 
