Inject faults between daemons in the soak

Cause: the soak had no faults of the connections between daemons, as daemons tell each other the address of their listener. Change: the setting peer_announce names where others reach the listener; the soak puts a proxy there and cuts, resets, silences and delays what others send to a daemon.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -2,6 +2,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"crypto/tls"
@@ -182,8 +183,10 @@
 // OperatorAddress returns the address of the listener for operators.
 func (d *Daemon) OperatorAddress() string { return d.listeners[1].Addr().String() }
 
-// PeerAddress returns the address of the listener for other daemons.
-func (d *Daemon) PeerAddress() string { return d.listeners[2].Addr().String() }
+// PeerAddress returns the address at which other daemons reach this one.
+func (d *Daemon) PeerAddress() string {
+	return cmp.Or(d.settings.PeerAnnounce, d.listeners[2].Addr().String())
+}
 
 // Ready reports whether the daemon takes requests.
 func (d *Daemon) Ready() (bool, string) {
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log"
@@ -324,8 +325,10 @@
 // OperatorAddress returns the address of the listener for operators.
 func (d *Routed) OperatorAddress() string { return d.listeners[1].Addr().String() }
 
-// PeerAddress returns the address of the listener for other daemons.
-func (d *Routed) PeerAddress() string { return d.listeners[2].Addr().String() }
+// PeerAddress returns the address at which other daemons reach this one.
+func (d *Routed) PeerAddress() string {
+	return cmp.Or(d.settings.PeerAnnounce, d.listeners[2].Addr().String())
+}
 
 // Ready reports whether the daemon takes requests.
 func (d *Routed) Ready() (bool, string) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -19,6 +19,7 @@
 	CallerAddress   string   `toml:"caller_address"`   // listener for callers, IP:port
 	OperatorAddress string   `toml:"operator_address"` // listener for operators, IP:port
 	PeerAddress     string   `toml:"peer_address"`     // listener for other daemons, IP:port
+	PeerAnnounce    string   `toml:"peer_announce"`    // where other daemons reach the listener, IP:port; peer_address when empty
 	Platform        string   `toml:"platform"`         // the platform's service, IP:port
 	Peers           []string `toml:"peers"`            // addresses of some other daemons, IP:port
 	PeerKeys        []string `toml:"peer_keys"`        // shared keys; the first signs, all are accepted
@@ -151,6 +152,10 @@
 		names[p] = true
 	}
 
+	if d.PeerAnnounce != "" {
+		checkAddress(x, l, "peer_announce", d.PeerAnnounce)
+	}
+
 	if a, err := netip.ParseAddrPort(d.PeerAddress); err == nil && len(d.PeerKeys) == 0 && !a.Addr().IsLoopback() {
 		x.Addf(l, "peer_keys", "is required, as %s is reachable from other machines", d.PeerAddress)
 	}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -25,6 +25,11 @@
 	StoreSlow     Kind = "store_slow"      // the store answers late
 	StoreLossy    Kind = "store_lossy"     // appends are made, at once or later, and not answered
 	StoreForgets  Kind = "store_forgets"   // the store keeps one record of each partition
+	PeersCut      Kind = "peers_cut"       // no other daemon reaches a daemon, which reaches them
+	PeersDeaf     Kind = "peers_deaf"      // the calls of other daemons arrive at a daemon, and its answers are lost
+	PeersSilent   Kind = "peers_silent"    // the open connections of other daemons to a daemon go silent for good
+	PeersReset    Kind = "peers_reset"     // the open connections of other daemons to a daemon are reset
+	PeersSlow     Kind = "peers_slow"      // bytes between a daemon and those that call it are delayed
 	WorkerCut     Kind = "worker_cut"      // a worker takes no connections
 	WorkerReset   Kind = "worker_reset"    // the open connections to a worker are reset
 	WorkerSilent  Kind = "worker_silent"   // the open connections to a worker go silent for good
@@ -43,12 +48,25 @@
 	ofStore
 )
 
-// kinds has all kinds of faults with what they are done to and their relative frequency.
-var kinds = []struct {
+// drawn is a kind of fault with what it is done to and its relative frequency.
+type drawn struct {
 	kind   Kind
 	of     of
 	weight int
-}{
+}
+
+// peerKinds are the faults of the connections between daemons. They have a schedule of their own, so that the seeds that
+// broke a promise before there were such faults still draw the others.
+var peerKinds = []drawn{
+	{PeersCut, ofDaemon, 3},
+	{PeersDeaf, ofDaemon, 2},
+	{PeersSilent, ofDaemon, 2},
+	{PeersReset, ofDaemon, 2},
+	{PeersSlow, ofDaemon, 1},
+}
+
+// kinds has all other kinds of faults.
+var kinds = []drawn{
 	{Kill, ofDaemon, 4},
 	{KillMany, ofStore, 1},
 	{Pause, ofDaemon, 4},
@@ -94,6 +112,8 @@
 const (
 	// faultGap is the mean time between two faults that are drawn on their own.
 	faultGap = 900 * time.Millisecond
+	// peerGap is the same for the faults between daemons.
+	peerGap = 2500 * time.Millisecond
 	// seriesShare of the faults come as a series of the same kind, seriesMost at most, seriesGap apart.
 	seriesShare = 0.25
 	seriesMost  = 4
@@ -106,7 +126,16 @@
 // Schedule draws the faults of a soak from a seed, in order of their start. Faults overlap and come in series; all of
 // them end before length.
 func Schedule(seed uint64, length time.Duration, daemons, workers int) []Fault {
-	r := rand.New(rand.NewPCG(seed, 0)) //nolint:gosec // repeatable faults
+	l := append(
+		draw(rand.New(rand.NewPCG(seed, 0)), kinds, faultGap, length, daemons, workers),       //nolint:gosec // repeatable faults
+		draw(rand.New(rand.NewPCG(seed, 1)), peerKinds, peerGap, length, daemons, workers)...) //nolint:gosec // repeatable faults
+	slices.SortStableFunc(l, func(a, b Fault) int { return cmp.Compare(a.start, b.start) })
+
+	return l
+}
+
+// draw draws faults of some kinds that start a mean time apart.
+func draw(r *rand.Rand, kinds []drawn, gap, length time.Duration, daemons, workers int) []Fault {
 	total := 0
 
 	for _, k := range kinds {
@@ -116,7 +145,7 @@
 	var l []Fault
 
 	for at := time.Duration(0); ; {
-		at += time.Duration(r.ExpFloat64() * float64(faultGap))
+		at += time.Duration(r.ExpFloat64() * float64(gap))
 
 		k := kinds[0]
 		n := r.IntN(total)
@@ -144,8 +173,6 @@
 			}
 
 			if f.end > length {
-				slices.SortStableFunc(l, func(a, b Fault) int { return cmp.Compare(a.start, b.start) })
-
 				return l
 			}
 
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -103,6 +103,8 @@
 		w.daemons[f.index].store.SetDelay(linkDelay)
 		wait()
 		w.daemons[f.index].store.SetDelay(0)
+	case PeersCut, PeersDeaf, PeersSilent, PeersReset, PeersSlow:
+		peersFault(f.kind, w.daemons[f.index].peers, wait)
 	case StoreDown, StoreSilent, StoreSlow, StoreLossy, StoreForgets:
 		j.storeFault(f, true)
 		wait()
@@ -114,6 +116,28 @@
 	return nil
 }
 
+// peersFault does a fault to the connections of other daemons to one.
+func peersFault(k Kind, p *proxy.Proxy, wait func()) {
+	switch k {
+	case PeersCut:
+		p.SetCut(true)
+		wait()
+		p.SetCut(false)
+	case PeersDeaf:
+		p.SetDeaf(proxy.ToClient, true)
+		wait()
+		p.SetDeaf(proxy.ToClient, false)
+	case PeersSlow:
+		p.SetDelay(linkDelay)
+		wait()
+		p.SetDelay(0)
+	case PeersSilent:
+		p.SilenceOpen(proxy.ToClient)
+	default:
+		p.Reset()
+	}
+}
+
 func (j *injector) targetFault(f Fault, wait func()) error {
 	t := j.world.targets[f.index]
 
--- a/soak/world.go
+++ b/soak/world.go
@@ -45,7 +45,8 @@
 type daemon struct {
 	vm, caller, operator, peer string
 	settings                   string
-	store                      *proxy.Proxy
+	store                      *proxy.Proxy // in front of the store
+	peers                      *proxy.Proxy // in front of its listener for other daemons
 
 	mu    sync.Mutex
 	cmd   *exec.Cmd
@@ -243,12 +244,17 @@
 		return nil, err
 	}
 
-	d := &daemon{vm: fmt.Sprint("vm-", i), caller: a[0], operator: a[1], peer: a[2], store: p}
+	q, err := proxy.New(a[2])
+	if err != nil {
+		return nil, err
+	}
+
+	d := &daemon{vm: fmt.Sprint("vm-", i), caller: a[0], operator: a[1], peer: a[2], store: p, peers: q}
 	d.settings = filepath.Join(w.dir, d.vm+".toml")
 
 	return d, os.WriteFile(d.settings, fmt.Appendf(nil, "vm = %q\nfailure_domain = %q\ninterface = \"routed\"\n"+
-		"caller_address = %q\noperator_address = %q\npeer_address = %q\nplatform = %q\npeer_keys = [\"soak on loopback only\"]\n"+
-		"drain_wait = \"1s\"\ndrain_most = %q\n", d.vm, domain(i), d.caller, d.operator, d.peer, p.Address(), grace), 0o600)
+		"caller_address = %q\noperator_address = %q\npeer_address = %q\npeer_announce = %q\nplatform = %q\npeer_keys = [\"soak on loopback only\"]\n"+
+		"drain_wait = \"1s\"\ndrain_most = %q\n", d.vm, domain(i), d.caller, d.operator, d.peer, q.Address(), p.Address(), grace), 0o600)
 }
 
 // start starts the process of a daemon, whose output is added to its log file.
@@ -367,6 +373,7 @@
 		_ = d.signal(os.Kill)
 		<-d.end()
 		d.store.Close()
+		d.peers.Close()
 	}
 
 	for _, t := range w.targets {
