Stop sending work to workers that say they are leaving

Cause: a worker that leaves says so in the header Server-Leaving of all its responses, possibly while the store still lists it as ready. Nothing read the header.

Change: fleet.Registry keeps the announcements by incarnation (name and start), next to the registration. The slot owner and its successor are told with an immediate heartbeat, the others with the regular ones, and a daemon that starts with the bootstrap state. A new incarnation is not affected.

Conclusion: no daemon sends work to an incarnation after the announcement, also one that starts later.

--- a/bootstrap/bootstrap.go
+++ b/bootstrap/bootstrap.go
@@ -90,6 +90,8 @@
 	Leaving bool   `msgpack:"leaving"`
 	Offset  int64  `msgpack:"offset"`
 	Lapsed  bool   `msgpack:"lapsed"` // the log no longer has the registration, but its removal is delayed
+	// Announced means that the target has announced in a response that it is leaving.
+	Announced bool `msgpack:"announced"`
 }
 
 func newTargetMessage(e fleet.Registration) TargetMessage {
@@ -97,7 +99,7 @@
 
 	return TargetMessage{
 		Name: t.Name(), Address: t.Address(), Domain: t.Domain(), Service: t.Service(), Slots: t.Slots(), Start: t.Start(),
-		Leaving: t.Leaving(), Offset: e.Offset(), Lapsed: e.IsRemovalPending(),
+		Leaving: t.Leaving(), Offset: e.Offset(), Lapsed: e.IsRemovalPending(), Announced: e.HasAnnouncedLeaving(),
 	}
 }
 
@@ -107,7 +109,12 @@
 		t = t.AsLeaving()
 	}
 
-	return fleet.NewRegistration(t, m.Offset, m.Lapsed)
+	e := fleet.NewRegistration(t, m.Offset, m.Lapsed)
+	if m.Announced {
+		e = e.WithAnnouncedLeaving()
+	}
+
+	return e
 }
 
 // State returns the target registrations to a starting daemon, and the routes if they are newer than those that it has.
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -23,6 +23,7 @@
 	"github.com/agategap/agategap/drain"
 	"github.com/agategap/agategap/filter"
 	"github.com/agategap/agategap/fleet"
+	"github.com/agategap/agategap/internal/cluster/leaving"
 	"github.com/agategap/agategap/keyed"
 	"github.com/agategap/agategap/logging"
 	"github.com/agategap/agategap/mesh"
@@ -100,7 +101,7 @@
 		Power: int(d.settings.Processor * powerPerCore),
 	}
 	table := mesh.New(self).WithTargetCheck(func() bool { return d.targets.HasUsable(time.Now()) })
-	d.mesh = mesh.NewMesh(table, d.client, d.settings.Peers, d.logger)
+	d.mesh = mesh.NewMesh(table, d.client, d.settings.Peers, d.logger).WithLeavingTargets(&d.targets)
 
 	store := platform.NewStore(d.settings.Platform)
 	d.log = keyed.NewRelayedLog(store, peerClient{client: d.client}, table)
@@ -108,7 +109,7 @@
 	holder := slots.NewHolder(table, d.client, d.slotOwner, &d.targets)
 
 	w := newStepWatcher(d.logger, d.metrics, &d.logLimiter, &d.inFlight)
-	workers := platform.NewWorkerClient()
+	workers := platform.NewWorkerClient().WithLeavingTargets(leaving.New(&d.targets, d.mesh, d.metrics, time.Now, d.logger))
 	l := d.settings.Store
 	sizes := batches.NewLogLimits(l.Partitions, l.RecordBytes, l.CallBytes, l.KeepResults.Value())
 	d.batches = batches.New(d.log, sizes, batch.NewRunner(self.VM, self.Start), time.Now, d.logger)
--- a/filter/model.go
+++ b/filter/model.go
@@ -100,11 +100,23 @@
 type Target struct {
 	name    string
 	address string
+	start   int64
 }
 
 // NewTarget returns a target at address, an IP address with a port.
 func NewTarget(name, address string) Target { return Target{name: name, address: address} }
 
+// WithStart returns a copy with the start of the target's process in Unix milliseconds, which identifies its
+// incarnation; 0 if it is not known.
+func (t Target) WithStart(ms int64) Target {
+	t.start = ms
+
+	return t
+}
+
+// Start returns the start of the target's process in Unix milliseconds; 0 if it is not known.
+func (t Target) Start() int64 { return t.start }
+
 // Name returns the target's name.
 func (t Target) Name() string { return t.name }
 
--- a/filter/relay.go
+++ b/filter/relay.go
@@ -15,6 +15,9 @@
 	errUnresponsive = errors.New("the target sent nothing within the idle timeout")
 	// errTargetStatus means that a target responded with an error status. Another target may respond without one.
 	errTargetStatus = errors.New("the target responded with an error status")
+	// ErrTargetLeaving means that the request was not sent because the target had announced that it is leaving. This is
+	// not a fault of the target.
+	ErrTargetLeaving = errors.New("the target is leaving")
 )
 
 const (
@@ -215,6 +218,8 @@
 	switch {
 	case err == nil:
 		return pool.NoFault
+	case errors.Is(err, ErrTargetLeaving):
+		return pool.Unused
 	case IsUnresponsive(c), outcome.Is(err, outcome.NoTarget):
 		return pool.Unreachable
 	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded), c.Err() != nil:
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -91,6 +91,7 @@
 type registryShard struct {
 	mu            sync.Mutex
 	registrations map[string]registrationState // by name of the target
+	leavingSince  map[Incarnation]time.Time    // when it became known that a target has announced that it is leaving
 }
 
 // Registration is the registration of a target as one daemon passes it on to another.
@@ -98,6 +99,7 @@
 	target         Target
 	offset         int64
 	removalPending bool
+	leaving        bool
 }
 
 // NewRegistration returns the registration of a target at an offset of the log. removalPending means that it was
@@ -106,6 +108,16 @@
 	return Registration{target: t, offset: offset, removalPending: removalPending}
 }
 
+// WithAnnouncedLeaving returns a copy for a target that has announced in a response that it is leaving.
+func (e Registration) WithAnnouncedLeaving() Registration {
+	e.leaving = true
+
+	return e
+}
+
+// HasAnnouncedLeaving reports whether the target has announced in a response that it is leaving.
+func (e Registration) HasAnnouncedLeaving() bool { return e.leaving }
+
 // Target returns the target.
 func (e Registration) Target() Target { return e.target }
 
@@ -118,11 +130,15 @@
 // registrationState is the registration of a target. removedAt is the time of its pending removal; zero if there is
 // none.
 type registrationState struct {
-	target    Target
-	offset    int64
-	removedAt time.Time
+	target           Target
+	offset           int64
+	removedAt        time.Time
+	announcedLeaving bool // this incarnation has announced in a response that it is leaving
 }
 
+// isLeaving reports whether the target is leaving, from its registration or its responses.
+func (e registrationState) isLeaving() bool { return e.target.leaving || e.announcedLeaving }
+
 func (r *Registry) shard(name string) *registryShard {
 	return &r.shards[shard.Index(name, shardCount)]
 }
@@ -176,10 +192,10 @@
 		h := &r.shards[i]
 
 		h.mu.Lock()
-		for n, e := range h.registrations {
+		for _, e := range h.registrations {
 			if !e.removedAt.IsZero() && now.Sub(e.removedAt) >= removalGracePeriod {
 				r.countChange(e.removedAt, time.Time{})
-				delete(h.registrations, n)
+				h.deleteRegistration(e)
 			}
 		}
 		h.mu.Unlock()
@@ -216,7 +232,8 @@
 		h.registrations = map[string]registrationState{}
 	}
 
-	h.registrations[t.name] = registrationState{target: t, offset: offset, removedAt: removedAt}
+	_, leaving := h.leavingSince[t.Incarnation()]
+	h.registrations[t.name] = registrationState{target: t, offset: offset, removedAt: removedAt, announcedLeaving: leaving}
 
 	if ok && e.target == t && e.removedAt.IsZero() && removedAt.IsZero() {
 		return false
@@ -259,8 +276,10 @@
 	var l []Registration
 
 	for _, e := range r.filterRegistrations(func(Target) bool { return true }) {
-		if e.target.leaving || r.isUsable(e, now) {
-			l = append(l, Registration{target: e.target, offset: e.offset, removalPending: !e.removedAt.IsZero()})
+		if e.isLeaving() || r.isUsable(e, now) {
+			l = append(l, Registration{
+				target: e.target, offset: e.offset, removalPending: !e.removedAt.IsZero(), leaving: e.announcedLeaving,
+			})
 		}
 	}
 
@@ -269,7 +288,7 @@
 
 // Import takes registrations that another daemon exported: all of them until the log was read, and then those with a
 // pending removal if the log is down or was so within removalGracePeriod. A registration that is not newer than the
-// local one is ignored.
+// local one is ignored. That a target has announced that it is leaving is always taken over.
 func (r *Registry) Import(l []Registration, now time.Time) {
 	r.importMu.Lock()
 	defer r.importMu.Unlock()
@@ -277,6 +296,10 @@
 	delayRemoval := r.shouldDelayRemoval(now)
 
 	for _, e := range l {
+		if e.leaving {
+			r.MarkLeaving(e.target.Incarnation(), now)
+		}
+
 		switch {
 		case e.removalPending && (delayRemoval || !r.logRead):
 			r.put(e.target, e.offset, now)
@@ -298,14 +321,14 @@
 	defer h.mu.Unlock()
 
 	if e, ok := h.registrations[name]; ok && offset > e.offset {
-		if delayRemoval && !e.target.leaving {
+		if delayRemoval && !e.isLeaving() {
 			r.countChange(e.removedAt, now)
 
 			e.removedAt, e.offset = now, offset
 			h.registrations[name] = e
 		} else {
 			r.countChange(e.removedAt, time.Time{})
-			delete(h.registrations, name)
+			h.deleteRegistration(e)
 		}
 	}
 }
@@ -341,7 +364,7 @@
 
 // isUsable reports whether the target of a registration may get work.
 func (r *Registry) isUsable(e registrationState, now time.Time) bool {
-	if e.target.leaving {
+	if e.isLeaving() {
 		return false
 	}
 
@@ -390,7 +413,7 @@
 	defer h.mu.Unlock()
 
 	for _, e := range h.registrations {
-		if !e.target.leaving && e.removedAt.IsZero() {
+		if !e.isLeaving() && e.removedAt.IsZero() {
 			return true
 		}
 	}
@@ -402,7 +425,7 @@
 func (r *Registry) Targets(now time.Time) []Target {
 	return r.filterTargets(
 		func(Target) bool { return true },
-		func(e registrationState) bool { return e.target.leaving || r.isUsable(e, now) },
+		func(e registrationState) bool { return e.isLeaving() || r.isUsable(e, now) },
 	)
 }
 
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/agategap/agategap/fleet"
 )
 
 // PeerClient calls net/rpc methods of other daemons.
@@ -19,18 +21,41 @@
 	heartbeatTimeout = 400 * time.Millisecond
 	// maxPeersPerMessage bounds the peers of one reply, both when it is sent and when it is received.
 	maxPeersPerMessage = 1024
+	// maxLeavingPerMessage bounds the leaving targets in one message. A rolling release takes a few targets at a time.
+	maxLeavingPerMessage = 256
+	// notifiedOwners is the number of daemons to which NotifyOwners sends a heartbeat: the slot owner of a service and the
+	// daemon that would succeed it.
+	notifiedOwners = 2
 )
 
+// LeavingTargets has the targets that have announced in a response that they are leaving.
+type LeavingTargets interface {
+	// RecentlyLeaving returns the incarnations whose announcement became known in the last seconds.
+	RecentlyLeaving(now time.Time) []fleet.Incarnation
+	// MarkLeaving records the announcement of an incarnation. It reports whether it is new.
+	MarkLeaving(i fleet.Incarnation, now time.Time) bool
+}
+
+// LeavingTarget is an incarnation of a target that has announced that it is leaving. It is part of heartbeats.
+type LeavingTarget struct {
+	Name  string `msgpack:"name"`
+	Start int64  `msgpack:"start"` // start of its process, Unix milliseconds
+}
+
 // Heartbeat has the arguments of Mesh.Beat. It is a wire message.
 type Heartbeat struct {
 	From   Peer   `msgpack:"from"`
 	Digest uint64 `msgpack:"digest"` // Table.Digest of the sender
+	// Leaving has the targets of recent announcements that the sender knows of.
+	Leaving []LeavingTarget `msgpack:"leaving"`
 }
 
 // HeartbeatReply is the reply of Mesh.Beat. It is a wire message.
 type HeartbeatReply struct {
 	From  Peer   `msgpack:"from"`
 	Peers []Peer `msgpack:"peers"` // all that the replying daemon knows; empty if the digests are equal
+	// Leaving has the targets of recent announcements that the replying daemon knows of.
+	Leaving []LeavingTarget `msgpack:"leaving"`
 }
 
 // Mesh sends heartbeats to the other daemons and serves theirs as a net/rpc service.
@@ -40,6 +65,8 @@
 	seeds  []string
 	logger zerolog.Logger
 
+	leaving LeavingTargets // may be nil
+
 	mu        sync.Mutex
 	livePeers map[string]bool // VMs of the live peers at the last call of logPeerChanges
 }
@@ -50,6 +77,53 @@
 	return &Mesh{table: t, client: c, seeds: seeds, logger: z, livePeers: map[string]bool{}}
 }
 
+// WithLeavingTargets makes heartbeats exchange the announcements of leaving targets. It returns m and must be called
+// before Run.
+func (m *Mesh) WithLeavingTargets(l LeavingTargets) *Mesh {
+	m.leaving = l
+
+	return m
+}
+
+// NotifyOwners sends a heartbeat at once to the slot owner of a service and to the daemon that would succeed it, so that
+// they know of a leaving target before the next regular heartbeat. It does not wait for the replies.
+func (m *Mesh) NotifyOwners(service string) {
+	l := m.table.RankedPeers(service, time.Now())
+	for _, p := range l[:min(notifiedOwners, len(l))] {
+		go m.sendHeartbeat(context.Background(), p.VM, p.Address)
+	}
+}
+
+func (m *Mesh) recentlyLeaving(now time.Time) []LeavingTarget {
+	if m.leaving == nil {
+		return nil
+	}
+
+	l := m.leaving.RecentlyLeaving(now)
+	l = l[:min(len(l), maxLeavingPerMessage)]
+	r := make([]LeavingTarget, 0, len(l))
+
+	for _, i := range l {
+		r = append(r, LeavingTarget{Name: i.Name(), Start: i.Start()})
+	}
+
+	return r
+}
+
+// markLeaving records the leaving targets in a message of the peer with the given VM.
+func (m *Mesh) markLeaving(l []LeavingTarget, peer string, now time.Time) {
+	if m.leaving == nil {
+		return
+	}
+
+	for _, t := range l[:min(len(l), maxLeavingPerMessage)] {
+		if m.leaving.MarkLeaving(fleet.NewIncarnation(t.Name, t.Start), now) {
+			m.logger.Info().Str("event", "target_leaving").Str("target", t.Name).Int64("start", t.Start).Str("peer", peer).
+				Msg("another daemon reports that the target has announced that it is leaving")
+		}
+	}
+}
+
 // Table returns the table of peers.
 func (m *Mesh) Table() *Table { return m.table }
 
@@ -59,7 +133,9 @@
 	d := m.table.Digest()
 
 	m.table.AddPeer(q.From, now)
-	a.From = m.table.Self()
+	m.markLeaving(q.Leaving, q.From.VM, now)
+
+	a.From, a.Leaving = m.table.Self(), m.recentlyLeaving(now)
 
 	if q.Digest != d {
 		a.Peers = m.table.KnownPeers(now)
@@ -122,7 +198,9 @@
 
 	var a HeartbeatReply
 
-	if err := m.client.Call(x, address, "Mesh.Beat", Heartbeat{From: self, Digest: m.table.Digest()}, &a); err != nil {
+	q := Heartbeat{From: self, Digest: m.table.Digest(), Leaving: m.recentlyLeaving(time.Now())}
+
+	if err := m.client.Call(x, address, "Mesh.Beat", q, &a); err != nil {
 		if vm != "" {
 			m.table.MarkFailed(vm)
 		}
@@ -132,6 +210,7 @@
 
 	now := time.Now()
 	m.table.MarkReplied(a.From, now)
+	m.markLeaving(a.Leaving, a.From.VM, now)
 
 	for _, p := range a.Peers[:min(len(a.Peers), maxPeersPerMessage)] {
 		m.table.AddPeer(p, now)
--- a/slots/holder.go
+++ b/slots/holder.go
@@ -131,7 +131,7 @@
 
 		t, ok := h.targetFinder.Find(s.targetName, time.Now())
 		if ok {
-			s.target = filter.NewTarget(t.Name(), t.Address())
+			s.target = filter.NewTarget(t.Name(), t.Address()).WithStart(t.Start())
 
 			return s, nil
 		}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -30,6 +30,7 @@
 	Breaks     int    `json:"breaks"`      // number of responses that are aborted; 0 for all
 	Silent     bool   `json:"silent"`      // requests get a slot and no response
 	Fail       string `json:"fail"`        // requests whose body contains this text fail with status 500
+	Leaving    string `json:"leaving"`     // value of the header field Server-Leaving in all responses; none if empty
 	Impossible string `json:"impossible"`  // requests whose body contains this text fail with status 422
 }
 
@@ -105,6 +106,10 @@
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 
+	if v := k.leaving(); v != "" {
+		w.Header().Set("Server-Leaving", v)
+	}
+
 	if e := r.Header.Get("Expect-Instance"); e != "" && e != k.options.ID {
 		w.Header().Set("Instance-Id", k.options.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -125,6 +130,13 @@
 	}
 }
 
+func (k *Worker) leaving() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+
+	return k.faults.Leaving
+}
+
 // acquireSlot waits for a slot and reports whether it got one. It gets none if the queue is full or the client
 // disconnects while it waits.
 func (k *Worker) acquireSlot(r *http.Request) bool {
