Repeat preemptions, and delay batch work at a takeover of slots

The slot owner waited 4 s for 11 to 18 of 64 slots that it had preempted: the notice had arrived before the reply that granted the slot, was ignored by the holder and never repeated. At the restart several daemons owned the service for a moment and granted batch work independently, up to 33 slots more than the workers have.

Change: a report that still lists a lease 100 ms after its preemption makes the owner preempt it again. A daemon that owns a service for the first time grants batch work after 0.8 s, when the holders have reported.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -60,6 +60,9 @@
 	// batchPause is the time after a preemption in which batch work gets no slots. During a burst of online requests, a
 	// slot granted to batch work would be preempted within a few milliseconds, before the work could begin.
 	batchPause = 150 * time.Millisecond
+	// preemptionRepeatInterval is the time after which a preemption is repeated while the holder still reports the lease.
+	// The notice may have been lost, or may have arrived before the grant. It is longer than a release takes to arrive.
+	preemptionRepeatInterval = 100 * time.Millisecond
 	// idleConnTTL is how long a holder is assumed to keep its connection to a target after a request. Targets may close
 	// connections that have been idle for a few seconds.
 	idleConnTTL = 3 * time.Second
@@ -93,7 +96,7 @@
 	releasedAt    map[string]time.Time // recent releases by lease
 	waiting       []*SlotRequest       // in the order of compareRequests
 	leaseDuration time.Duration        // moving average of online leases; 0 before the first
-	preemptedAt   time.Time            // when batch leases were last preempted
+	batchFrom     time.Time            // batch work gets no slots before this time
 }
 
 // targetState is a target with its load.
@@ -138,6 +141,21 @@
 	p.targets = m
 }
 
+// DelayBatch makes batch work wait until t. A new slot owner uses it until the holders have reported their leases.
+func (p *Pool) DelayBatch(t time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.delayBatch(t)
+}
+
+// delayBatch is DelayBatch for callers that hold the lock.
+func (p *Pool) delayBatch(t time.Time) {
+	if t.After(p.batchFrom) {
+		p.batchFrom = t
+	}
+}
+
 // Request requests a slot. Unless the actions grant or refuse it, the request waits. A repeated request gets the slot
 // that it has been granted already, in case the grant was lost on the way to its holder.
 func (p *Pool) Request(r SlotRequest, now time.Time) Actions {
@@ -307,7 +325,8 @@
 }
 
 // Report reconciles the leases of a holder with the list that it reports. Unknown leases are added, unless they were
-// released lately; leases that are not listed are removed once they are older than unreportedGracePeriod.
+// released lately; leases that are not listed are removed once they are older than unreportedGracePeriod. Leases that
+// are still listed preemptionRepeatInterval after their preemption are preempted again.
 func (p *Pool) Report(holder string, held []Lease, now time.Time) Actions {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -320,10 +339,21 @@
 
 	known := make(map[string]bool, len(held))
 
+	var repeated []Lease
+
 	for _, e := range held {
 		known[e.id] = true
 
-		if _, ok := p.leases[e.id]; ok || !p.releasedAt[e.id].IsZero() {
+		if k, ok := p.leases[e.id]; ok {
+			if !k.preemptedAt.IsZero() && now.Sub(k.preemptedAt) >= preemptionRepeatInterval {
+				k.preemptedAt = now
+				repeated = append(repeated, *k)
+			}
+
+			continue
+		}
+
+		if !p.releasedAt[e.id].IsZero() {
 			continue
 		}
 
@@ -337,7 +367,10 @@
 		}
 	}
 
-	return p.schedule(now)
+	a := p.schedule(now)
+	a.preempted = append(repeated, a.preempted...)
+
+	return a
 }
 
 // Expire removes the leases of holders that have stopped reporting, and old releases and idle connections. It also
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -165,6 +165,15 @@
 			So(leaseIDs(p.Expire(at(12)).Preempted()), ShouldBeEmpty)
 		})
 
+		Convey("it is preempted again if its holder still reports it, as the notice may have been lost", func() {
+			held := []pool.Lease{pool.NewLease("late", "vm", "t", pool.Batch, at(6000), 0), pool.NewLease("urgent", "vm", "t", pool.Batch, at(5000), 0)}
+
+			So(leaseIDs(p.Report("vm", held, at(50)).Preempted()), ShouldBeEmpty)
+			So(leaseIDs(p.Report("vm", held, at(150)).Preempted()), ShouldResemble, []string{"late"})
+			So(leaseIDs(p.Report("vm", held, at(200)).Preempted()), ShouldBeEmpty)
+			So(leaseIDs(p.Report("vm", held, at(300)).Preempted()), ShouldResemble, []string{"late"})
+		})
+
 		Convey("the released slot goes to the online request, not to batch work", func() {
 			p.Request(newBatchRequest("next", 1000), at(11))
 			So(leaseIDs(p.Release("late", "t", pool.Unused, at(12)).Granted()), ShouldResemble, []string{"o1"})
@@ -179,6 +188,21 @@
 	})
 }
 
+// Guards against batch work that a new slot owner grants before it knows which slots are in use. After a restart of all
+// daemons, several of them own a service for a moment, and their grants together exceed the slots of the targets.
+func TestBatchWorkIsDelayedAtATakeover(t *testing.T) {
+	Convey("A new owner grants online requests at once and batch work after the delay", t, func() {
+		var p pool.Pool
+
+		p.SetTargets([]pool.Target{pool.NewTarget("t", "a", 2)})
+		p.DelayBatch(at(800))
+		So(leaseIDs(p.Request(newBatchRequest("b", 9000), at(0)).Granted()), ShouldBeEmpty)
+		So(leaseIDs(p.Request(newOnlineRequest("o", 300), at(1)).Granted()), ShouldResemble, []string{"o"})
+		So(leaseIDs(p.Expire(at(790)).Granted()), ShouldBeEmpty)
+		So(leaseIDs(p.Expire(at(810)).Granted()), ShouldResemble, []string{"b"})
+	})
+}
+
 // Guards against requests that are kept waiting although their response cannot be on time.
 func TestRefusesTooLongWaits(t *testing.T) {
 	Convey("When online requests hold all slots", t, func() {
--- a/pool/request.go
+++ b/pool/request.go
@@ -76,7 +76,7 @@
 	due                time.Time
 	runTime            time.Duration // counted from since
 	since              time.Time
-	preempted          bool
+	preemptedAt        time.Time // when its holder was last told to release it; zero if it was not
 }
 
 // NewLease returns a lease as its holder reports it. The runTime is what is left of the work.
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -111,8 +111,8 @@
 	return n
 }
 
-// isBatchPaused reports whether batch work gets no slots because of a recent preemption.
-func (p *Pool) isBatchPaused(now time.Time) bool { return now.Sub(p.preemptedAt) < batchPause }
+// isBatchPaused reports whether batch work gets no slots because of a recent preemption or a takeover.
+func (p *Pool) isBatchPaused(now time.Time) bool { return now.Before(p.batchFrom) }
 
 // schedulingOrder returns the waiting requests in the order in which they are served: late batch items come last.
 func (p *Pool) schedulingOrder(now time.Time) []*SlotRequest {
@@ -193,7 +193,7 @@
 			continue
 		}
 
-		if e.preempted {
+		if !e.preemptedAt.IsZero() {
 			n--
 		} else if v, ok := p.targets[e.target]; ok && !v.isSuspect() {
 			l = append(l, e)
@@ -215,11 +215,11 @@
 	var r []Lease
 
 	if len(l) > 0 && n > 0 {
-		p.preemptedAt = now
+		p.delayBatch(now.Add(batchPause))
 	}
 
 	for _, e := range l[:max(0, min(n, len(l)))] {
-		e.preempted = true
+		e.preemptedAt = now
 		r = append(r, *e)
 	}
 
--- a/slots/owner.go
+++ b/slots/owner.go
@@ -22,6 +22,9 @@
 	poolUpdateInterval = 25 * time.Millisecond
 	// noticeTimeout bounds a notice. A holder that misses a grant repeats its request.
 	noticeTimeout = 500 * time.Millisecond
+	// takeoverBatchDelay is the time for which a daemon that has just become the owner of a service grants no slots for
+	// batch work. Within it, the holders report their leases, and daemons that start together agree on one owner.
+	takeoverBatchDelay = maxReportInterval
 )
 
 // PeerClient calls net/rpc methods of other daemons by their address.
@@ -88,6 +91,7 @@
 
 		s = &servicePool{addresses: map[string]string{}}
 		s.pool.SetTargets(o.usableTargets(name))
+		s.pool.DelayBatch(time.Now().Add(takeoverBatchDelay))
 		h.services[name] = s
 	}
 
--- a/slots/slots_test.go
+++ b/slots/slots_test.go
@@ -349,6 +349,32 @@
 	})
 }
 
+// Guards against an online request that waits until a batch item ends because the notice of the preemption was lost, or
+// arrived before the item's holder had the reply that granted its slot.
+func TestLostPreemptionIsRepeated(t *testing.T) {
+	n, l := startDaemons(t, 2, 1)
+	items, online := &slowTarget{runTime: 10 * time.Second}, &slowTarget{runTime: 20 * time.Millisecond}
+
+	Convey("When the notice is lost, the item is preempted after the next reports of its holder", t, func() {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+
+		ended := make(chan error, 1)
+		go func() { ended <- l[1].runItem(ctx, items, "item") }()
+
+		for end := time.Now().Add(2 * time.Second); items.runningCount() == 0 && time.Now().Before(end); {
+			time.Sleep(5 * time.Millisecond)
+		}
+
+		n.loseNotices("vm1", 1)
+
+		began := time.Now()
+		So(l[0].runOnline(online, "r"), ShouldBeNil)
+		So(time.Since(began), ShouldBeLessThan, time.Second)
+		So(filter.IsPreempted(<-ended), ShouldBeTrue)
+	})
+}
+
 // Guards against a slot that stays unused because the notice of its grant was lost.
 func TestLostGrantIsRepeated(t *testing.T) {
 	n, l := startDaemons(t, 2, 1)
