--- a/fleet/leaving.go
+++ b/fleet/leaving.go
@@ -23,7 +23,9 @@
 
 // NewIncarnation returns the incarnation of a target with the start of its process in Unix milliseconds; 0 if the start
 // is not known.
-func NewIncarnation(name string, start int64) Incarnation { return Incarnation{name: name, start: start} }
+func NewIncarnation(name string, start int64) Incarnation {
+	return Incarnation{name: name, start: start}
+}
 
 // Incarnation returns the incarnation of the target.
 func (t Target) Incarnation() Incarnation { return Incarnation{name: t.name, start: t.start} }
--- a/internal/cluster/leaving/leaving.go
+++ b/internal/cluster/leaving/leaving.go
@@ -45,7 +45,9 @@
 }
 
 // IsLeaving reports whether the incarnation of a target has announced to any daemon that it is leaving.
-func (c *Controller) IsLeaving(t filter.Target) bool { return c.registry.HasAnnouncedLeaving(incarnation(t)) }
+func (c *Controller) IsLeaving(t filter.Target) bool {
+	return c.registry.HasAnnouncedLeaving(incarnation(t))
+}
 
 // MarkLeaving records the announcement of a target of a service. The first one is logged, and the slot owner of the
 // service is notified at once; the other daemons get it with the next heartbeats.
