Serve late online requests after those that can be on time

Cause: after a restart of all VMs, the requests that come back are late already. They were served in the order of their due times, before new ones, so that these missed their objective of 300 ms by a little, were refused and came back as well.

Change: package patience tells from the time that callers have left how long they have waited; most requests on a route have the same when they are new. Package urgency, taken out of filter, makes a request late if its caller has waited for longer than a refusal explains.

--- a/filter/call.go
+++ b/filter/call.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/agategap/agategap/internal/serve/urgency"
 	"github.com/agategap/agategap/routing"
 )
 
@@ -66,72 +67,35 @@
 	}
 }
 
-// SlotUrgency says how urgently a request needs a slot.
-type SlotUrgency struct {
-	due      time.Time
-	maxWait  time.Duration
-	runTime  time.Duration
-	failFast bool
-}
-
-// Due returns the time by which the work meets its objective: the end of a batch item, or the first event of an online
-// request. Without an objective it is the deadline.
-func (u SlotUrgency) Due() time.Time { return u.due }
-
-// MaxWait returns the bound on the wait for a slot. It is 0 for batch items, whose wait the router bounds.
-func (u SlotUrgency) MaxWait() time.Duration { return u.maxWait }
-
-// RunTime returns the expected time from the start of the work to its end; 0 if it is not known.
-func (u SlotUrgency) RunTime() time.Duration { return u.runTime }
-
-// ShouldFailFast reports whether a request that would have to wait for longer than MaxWait should be rejected at once.
-func (u SlotUrgency) ShouldFailFast() bool { return u.failFast }
-
-const (
-	// startReserveDivisor divides the objective into the share that is reserved for the time from the slot to the first
-	// event, which is a few tens of milliseconds on engines whose objective is a few hundred.
-	startReserveDivisor = 4
-	// minRetrySlotWait is the least bound on the slot wait of a request that was offered to a target before. Such a
-	// request may wait beyond its objective.
-	minRetrySlotWait = 100 * time.Millisecond
-	// maxDefaultSlotWait bounds the slot wait of requests whose route has no objective.
-	maxDefaultSlotWait = time.Second
-	// maxResumeSlotWait bounds the slot wait of a stream that broke off. Callers close a stream after a pause of 2 s.
-	maxResumeSlotWait = 2 * time.Second
-)
-
 // Urgency returns how urgently the request needs a slot. Requests that do not pass through Relay are due at their
-// deadline and wait for at most maxDefaultSlotWait.
-func (r *Request) Urgency() SlotUrgency {
-	if r.urgency.due.IsZero() {
-		return SlotUrgency{due: r.deadline, maxWait: maxDefaultSlotWait}
+// deadline.
+func (r *Request) Urgency() urgency.Urgency {
+	if r.urgency.Due().IsZero() {
+		return urgency.ForDeadline(r.deadline)
 	}
 
 	return r.urgency
 }
 
-// setUrgency sets how urgently the next attempt needs a slot. A stream that broke off is due at once, ahead of all
-// other requests. A request that was not offered to a target yet waits only while it can still meet its objective.
-// offered says whether the request was offered to a target, emitted whether the caller has received a part of the
-// response.
+// setUrgency sets how urgently the next attempt needs a slot. offered says whether the request was offered to a target
+// before, emitted whether the caller has received a part of the response.
 func (r *Request) setUrgency(now time.Time, offered, emitted bool) {
-	o := r.route.Objective()
-
-	switch {
-	case r.class == Batch:
-		r.urgency = SlotUrgency{due: r.due, runTime: r.runTime}
-	case emitted:
-		r.urgency = SlotUrgency{due: now, maxWait: maxResumeSlotWait}
-	case o == 0:
-		r.urgency = SlotUrgency{due: r.deadline, maxWait: maxDefaultSlotWait}
-	default:
-		due := r.input.Arrived.Add(o)
-		r.urgency = SlotUrgency{due: due, maxWait: due.Add(-o / startReserveDivisor).Sub(now), failFast: !offered}
-
-		if offered {
-			r.urgency.maxWait = max(minRetrySlotWait, r.urgency.maxWait)
-		}
+	if r.class == Batch {
+		r.urgency = urgency.ForItem(r.due, r.runTime)
+
+		return
 	}
+
+	o := urgency.NewOnline(r.input.Arrived, r.deadline, r.route.Objective()).WithWaited(r.waited)
+	if offered {
+		o = o.AsOffered()
+	}
+
+	if emitted {
+		o = o.AsEmitted()
+	}
+
+	r.urgency = o.At(now)
 }
 
 // WithRunTime returns a copy of an item's request with the expected time of its run.
--- a/filter/match.go
+++ b/filter/match.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/agategap/agategap/internal/serve/patience"
 	"github.com/agategap/agategap/outcome"
 	"github.com/agategap/agategap/routing"
 )
@@ -13,9 +14,11 @@
 	Table() *routing.Table
 }
 
-// Match finds the route of a request by host and path, and sets the service and the deadline.
+// Match finds the route of a request by host and path, and sets the service, the deadline and how long its caller has
+// been waiting.
 type Match struct {
-	routes Routes
+	routes   Routes
+	patience patience.Estimator
 }
 
 // NewMatch returns a Match filter.
@@ -38,6 +41,7 @@
 
 	r.route, r.routeVersion, r.lastEvent = v, t.Version(), r.input.Call.lastEvent
 	r.service = NewService(ServiceSettings{Name: v.ServiceFor(r.ID())})
+	r.waited = f.patience.Waited(v.Name(), r.input.Timeout)
 	r.deadline = earliestDeadline(r.input.Arrived, r.input.Timeout, v.Timeout())
 
 	return next.Handle(ctx, r, s)
--- a/filter/relay_test.go
+++ b/filter/relay_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/agategap/agategap/filter"
+	"github.com/agategap/agategap/internal/serve/urgency"
 	"github.com/agategap/agategap/outcome"
 	"github.com/agategap/agategap/pool"
 	"github.com/agategap/agategap/routing"
@@ -20,7 +21,7 @@
 	acquired   int
 	faults     []pool.Fault
 	excluded   [][]string
-	urgencies  []filter.SlotUrgency
+	urgencies  []urgency.Urgency
 	acquireErr error
 }
 
--- a/filter/request.go
+++ b/filter/request.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/agategap/agategap/internal/serve/urgency"
 	"github.com/agategap/agategap/routing"
 )
 
@@ -76,7 +77,8 @@
 	lastEvent       int
 	due             time.Time
 	runTime         time.Duration
-	urgency         SlotUrgency
+	waited          time.Duration // time for which the caller had waited when the request arrived; 0 if unknown
+	urgency         urgency.Urgency
 }
 
 // NewRequest returns a request of class Online.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -75,11 +75,15 @@
 	granted   []Lease
 	preempted []Lease
 	refused   bool
+	wait      time.Duration
 }
 
 // IsRefused reports whether the request was refused because its expected wait exceeds its maximum.
 func (a Actions) IsRefused() bool { return a.refused }
 
+// ExpectedWait returns the expected wait for which the request was refused.
+func (a Actions) ExpectedWait() time.Duration { return a.wait }
+
 // Granted returns the leases that were granted.
 func (a Actions) Granted() []Lease { return a.granted }
 
@@ -168,8 +172,10 @@
 
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *SlotRequest) bool { return w.id == r.id })
 
-	if r.maxWait > 0 && p.expectedWait(&r, now) > r.maxWait {
-		return Actions{refused: true}
+	if r.maxWait > 0 {
+		if w := p.expectedWait(&r, now); w > r.maxWait {
+			return Actions{refused: true, wait: w}
+		}
 	}
 
 	i, _ := slices.BinarySearchFunc(p.waiting, &r, compareRequests)
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -228,6 +228,39 @@
 	})
 }
 
+// Guards against requests of a backlog that are late already and are served before new ones, so that these miss their
+// objectives as well and the backlog never ends.
+func TestLateRequestsAreServedAfterThoseOnTime(t *testing.T) {
+	Convey("When a late request and a batch item wait for the only slot", t, func() {
+		var p pool.Pool
+
+		fillPool(&p, newOnlineRequest("running", 300))
+		p.Request(newBatchRequest("item", 100), at(1))
+		p.Request(newOnlineRequest("late", 200).AsLate(), at(2))
+
+		Convey("a new request with a later due time goes first, the late one next and the item last", func() {
+			p.Request(newOnlineRequest("new", 400), at(3))
+
+			order := []string{}
+			for _, id := range []string{"running", "new", "late"} {
+				order = append(order, leaseIDs(p.Release(id, "t", pool.NoFault, at(10)).Granted())...)
+			}
+
+			So(order, ShouldResemble, []string{"new", "late", "item"})
+		})
+	})
+
+	Convey("The expected wait of a refused request is returned", t, func() {
+		var p pool.Pool
+
+		fillPool(&p, newOnlineRequest("a", 300))
+
+		a := p.Request(newOnlineRequest("b", 300).WithMaxWait(200*time.Millisecond), at(1))
+		So(a.IsRefused(), ShouldBeTrue)
+		So(a.ExpectedWait(), ShouldEqual, time.Second)
+	})
+}
+
 // Guards against a slot that leaks or is granted twice when messages are lost, repeated or late.
 func TestLostRepeatedAndLateMessages(t *testing.T) {
 	Convey("With a granted request", t, func() {
--- a/pool/request.go
+++ b/pool/request.go
@@ -23,6 +23,7 @@
 	maxWait            time.Duration
 	excluded           []string
 	preferred          string
+	late               bool
 }
 
 // NewSlotRequest returns a slot request of holder, a daemon in a failure domain. The id is unique among all daemons.
@@ -46,6 +47,14 @@
 	return r
 }
 
+// AsLate returns a copy of an online request that cannot meet its objective any more. It is served after the online
+// requests that can.
+func (r SlotRequest) AsLate() SlotRequest {
+	r.late = true
+
+	return r
+}
+
 // WithMaxWait returns a copy that is refused if its expected wait for a slot exceeds t. Zero means that it is never
 // refused.
 func (r SlotRequest) WithMaxWait(t time.Duration) SlotRequest {
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -6,10 +6,25 @@
 	"time"
 )
 
-// compareRequests orders requests by class, priority and due time. The identifier breaks ties.
+// compareRequests orders requests by class, whether they are late online requests, priority and due time. The identifier
+// breaks ties.
 func compareRequests(a, b *SlotRequest) int {
 	return cmp.Or(
-		cmp.Compare(a.class, b.class), cmp.Compare(a.priority, b.priority), a.due.Compare(b.due), cmp.Compare(a.id, b.id))
+		cmp.Compare(a.class, b.class), compareLate(a, b), cmp.Compare(a.priority, b.priority), a.due.Compare(b.due),
+		cmp.Compare(a.id, b.id))
+}
+
+// compareLate orders late online requests after others. After a disturbance, most of the requests that come back are
+// late; served in the order of their due times, they would make the new ones late as well.
+func compareLate(a, b *SlotRequest) int {
+	switch {
+	case a.late == b.late:
+		return 0
+	case a.late:
+		return 1
+	default:
+		return -1
+	}
 }
 
 func (p *Pool) addLease(e Lease) {
--- a/slots/holder.go
+++ b/slots/holder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 
 	"github.com/agategap/agategap/filter"
 	"github.com/agategap/agategap/fleet"
+	"github.com/agategap/agategap/internal/serve/urgency"
 	"github.com/agategap/agategap/mesh"
 	"github.com/agategap/agategap/outcome"
 	"github.com/agategap/agategap/pool"
@@ -43,6 +45,8 @@
 	maxOwnerAttempts = 4
 	// maxBatchWait bounds the wait of a batch item for a slot. Then Acquire fails, and the item requests a slot again.
 	maxBatchWait = 30 * time.Second
+	// minRetryAfter is the least time after which the caller of a refused request is asked to return.
+	minRetryAfter = 400 * time.Millisecond
 )
 
 // Peers is the membership as this daemon sees it.
@@ -117,6 +121,7 @@
 	q := AskArgs{
 		Service: service, Batch: r.Class() == filter.Batch, Rank: r.Route().Priority(),
 		DueMS: time.Until(w.Due()).Milliseconds(), NeedsMS: w.RunTime().Milliseconds(), Avoid: exclude, Prefer: r.PreferredTarget(),
+		Late: w.IsLate(),
 	}
 
 	if w.ShouldFailFast() {
@@ -126,7 +131,7 @@
 	for {
 		s, err := h.requestSlot(x, q)
 		if err != nil {
-			return nil, noSlotError(ctx, r)
+			return nil, noSlotError(ctx, r, err, wait)
 		}
 
 		t, ok := h.targetFinder.Find(s.targetName, time.Now())
@@ -142,15 +147,29 @@
 	}
 }
 
-// noSlotError returns the error for a request that got no slot: its context has ended, or all slots are in use.
-func noSlotError(ctx context.Context, r *filter.Request) error {
+// noSlotError returns the error for a request that got no slot: its context has ended, or all slots are in use. err is
+// that of requestSlot, and maxWait the longest wait of the request.
+func noSlotError(ctx context.Context, r *filter.Request, err error, maxWait time.Duration) error {
 	if ctx.Err() != nil {
 		return outcome.New(outcome.DeadlineExceeded, outcome.NotRun, "no slot became free in time").
 			WithCause(context.Cause(ctx))
 	}
 
 	return outcome.New(outcome.Overloaded, outcome.NotRun, "all slots of service %q are taken", r.TargetService()).
-		WithRetryAfter(time.Second)
+		WithRetryAfter(retryAfter(err, maxWait))
+}
+
+// retryAfter returns when the caller of a request that got no slot should return: when the queue is expected to be short
+// enough. The random part keeps callers that are refused together from returning together.
+func retryAfter(err error, maxWait time.Duration) time.Duration {
+	d := minRetryAfter
+
+	var e *refusedError
+	if errors.As(err, &e) {
+		d = min(urgency.MaxRetryAfter, max(d, e.wait-maxWait))
+	}
+
+	return d + rand.N(urgency.MaxRetryAfter-d+1) //nolint:gosec // spreads callers
 }
 
 // addService makes Run report the leases of a service.
@@ -161,8 +180,15 @@
 	h.services[service] = true
 }
 
-// errRefused means that the owner refused a request because its expected wait exceeds its maximum.
-var errRefused = errors.New("the expected wait for a slot is too long")
+// refusedError means that the owner refused a request because its expected wait exceeds its maximum.
+type refusedError struct {
+	wait time.Duration
+}
+
+// Error returns the message with the expected wait.
+func (e *refusedError) Error() string {
+	return "the expected wait for a slot is too long: " + e.wait.String()
+}
 
 // requestSlot requests a slot from the owner, repeatedly, until it is granted or refused or ctx ends.
 func (h *Holder) requestSlot(ctx context.Context, q AskArgs) (*lease, error) {
@@ -194,7 +220,7 @@
 		if a.Refused {
 			h.withdraw(q, owner, c)
 
-			return nil, errRefused
+			return nil, &refusedError{wait: time.Duration(a.WaitMS) * time.Millisecond}
 		}
 
 		if target == "" {
--- a/slots/message.go
+++ b/slots/message.go
@@ -14,6 +14,7 @@
 	Rank    int      `msgpack:"rank"`
 	DueMS   int64    `msgpack:"due_ms"`   // time left until the due time
 	NeedsMS int64    `msgpack:"needs_ms"` // run time of the work; 0 if unknown
+	Late    bool     `msgpack:"late"`     // online: the objective cannot be met any more
 	MostMS  int64    `msgpack:"most_ms"`  // expected wait above which the request is refused; 0 if it never is
 	Avoid   []string `msgpack:"avoid"`
 	Prefer  string   `msgpack:"prefer"`
@@ -23,6 +24,7 @@
 type AskReply struct {
 	Target  string `msgpack:"target"`
 	Refused bool   `msgpack:"refused"` // the expected wait is too long
+	WaitMS  int64  `msgpack:"wait_ms"` // expected wait of a refused request
 }
 
 // WithdrawArgs ends the wait of a slot request.
--- a/slots/owner.go
+++ b/slots/owner.go
@@ -135,8 +135,12 @@
 	r := pool.NewSlotRequest(q.ID, q.Holder, q.Domain, c, q.Rank, now.Add(time.Duration(q.DueMS)*time.Millisecond)).
 		WithExcludedTargets(q.Avoid).WithPreferredTarget(q.Prefer).WithRunTime(time.Duration(q.NeedsMS) * time.Millisecond).
 		WithMaxWait(time.Duration(q.MostMS) * time.Millisecond)
+	if q.Late {
+		r = r.AsLate()
+	}
+
 	l := s.pool.Request(r, now)
-	a.Refused = l.IsRefused()
+	a.Refused, a.WaitMS = l.IsRefused(), l.ExpectedWait().Milliseconds()
 
 	for _, g := range l.Granted() {
 		if g.ID() == q.ID {
