--- a/filter/call.go
+++ b/filter/call.go
@@ -86,7 +86,7 @@
 		return
 	}
 
-	o := urgency.NewOnline(r.input.Arrived, r.deadline, r.route.Objective()).WithWaited(r.waited)
+	o := urgency.NewOnline(r.input.Arrived, r.deadline, r.route.Objective()).WithWaited(r.waited).WithDaemonAge(r.daemonAge)
 	if offered {
 		o = o.AsOffered()
 	}
--- a/filter/match.go
+++ b/filter/match.go
@@ -18,11 +18,12 @@
 // been waiting.
 type Match struct {
 	routes   Routes
+	start    time.Time // of this daemon
 	patience patience.Estimator
 }
 
 // NewMatch returns a Match filter.
-func NewMatch(t Routes) *Match { return &Match{routes: t} }
+func NewMatch(t Routes) *Match { return &Match{routes: t, start: time.Now()} }
 
 // Name returns "match".
 func (f *Match) Name() string { return "match" }
@@ -41,6 +42,7 @@
 
 	r.route, r.routeVersion, r.lastEvent = v, t.Version(), r.input.Call.lastEvent
 	r.service = NewService(ServiceSettings{Name: v.ServiceFor(r.ID())})
+	r.daemonAge = r.input.Arrived.Sub(f.start)
 	r.waited = f.patience.Waited(v.Name(), r.input.Timeout)
 	r.deadline = earliestDeadline(r.input.Arrived, r.input.Timeout, v.Timeout())
 
--- a/filter/request.go
+++ b/filter/request.go
@@ -78,6 +78,7 @@
 	due             time.Time
 	runTime         time.Duration
 	waited          time.Duration // time for which the caller had waited when the request arrived; 0 if unknown
+	daemonAge       time.Duration
 	urgency         urgency.Urgency
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -75,15 +75,11 @@
 	granted   []Lease
 	preempted []Lease
 	refused   bool
-	wait      time.Duration
 }
 
 // IsRefused reports whether the request was refused because its expected wait exceeds its maximum.
 func (a Actions) IsRefused() bool { return a.refused }
 
-// ExpectedWait returns the expected wait for which the request was refused.
-func (a Actions) ExpectedWait() time.Duration { return a.wait }
-
 // Granted returns the leases that were granted.
 func (a Actions) Granted() []Lease { return a.granted }
 
@@ -172,10 +168,8 @@
 
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *SlotRequest) bool { return w.id == r.id })
 
-	if r.maxWait > 0 {
-		if w := p.expectedWait(&r, now); w > r.maxWait {
-			return Actions{refused: true, wait: w}
-		}
+	if r.maxWait > 0 && p.expectedWait(&r, now) > r.maxWait {
+		return Actions{refused: true}
 	}
 
 	i, _ := slices.BinarySearchFunc(p.waiting, &r, compareRequests)
@@ -211,7 +205,8 @@
 		return 0
 	}
 
-	return time.Duration(ahead-batch) * p.meanLeaseDuration() / time.Duration(online)
+	// Leases are half over on average, so that the first of them ends after half of the time between two ends.
+	return time.Duration(2*(ahead-batch)-1) * p.meanLeaseDuration() / time.Duration(2*online) //nolint:mnd // halves
 }
 
 // meanLeaseDuration returns the mean duration of online leases; initialLeaseDuration before the first one has ended.
--- a/slots/holder.go
+++ b/slots/holder.go
@@ -45,8 +45,6 @@
 	maxOwnerAttempts = 4
 	// maxBatchWait bounds the wait of a batch item for a slot. Then Acquire fails, and the item requests a slot again.
 	maxBatchWait = 30 * time.Second
-	// minRetryAfter is the least time after which the caller of a refused request is asked to return.
-	minRetryAfter = 400 * time.Millisecond
 )
 
 // Peers is the membership as this daemon sees it.
@@ -124,14 +122,14 @@
 		Late: w.IsLate(),
 	}
 
-	if w.ShouldFailFast() {
-		q.MostMS = max(1, wait.Milliseconds())
+	if d := w.AdmissibleWait(); d > 0 {
+		q.MostMS = max(1, d.Milliseconds())
 	}
 
 	for {
 		s, err := h.requestSlot(x, q)
 		if err != nil {
-			return nil, noSlotError(ctx, r, err, wait)
+			return nil, noSlotError(ctx, r)
 		}
 
 		t, ok := h.targetFinder.Find(s.targetName, time.Now())
@@ -147,29 +145,15 @@
 	}
 }
 
-// noSlotError returns the error for a request that got no slot: its context has ended, or all slots are in use. err is
-// that of requestSlot, and maxWait the longest wait of the request.
-func noSlotError(ctx context.Context, r *filter.Request, err error, maxWait time.Duration) error {
+// noSlotError returns the error for a request that got no slot: its context has ended, or all slots are in use.
+func noSlotError(ctx context.Context, r *filter.Request) error {
 	if ctx.Err() != nil {
 		return outcome.New(outcome.DeadlineExceeded, outcome.NotRun, "no slot became free in time").
 			WithCause(context.Cause(ctx))
 	}
 
 	return outcome.New(outcome.Overloaded, outcome.NotRun, "all slots of service %q are taken", r.TargetService()).
-		WithRetryAfter(retryAfter(err, maxWait))
-}
-
-// retryAfter returns when the caller of a request that got no slot should return: when the queue is expected to be short
-// enough. The random part keeps callers that are refused together from returning together.
-func retryAfter(err error, maxWait time.Duration) time.Duration {
-	d := minRetryAfter
-
-	var e *refusedError
-	if errors.As(err, &e) {
-		d = min(urgency.MaxRetryAfter, max(d, e.wait-maxWait))
-	}
-
-	return d + rand.N(urgency.MaxRetryAfter-d+1) //nolint:gosec // spreads callers
+		WithRetryAfter(urgency.RetryAfter(time.Until(r.Deadline()), rand.Float64())) //nolint:gosec // spreads callers
 }
 
 // addService makes Run report the leases of a service.
@@ -180,15 +164,8 @@
 	h.services[service] = true
 }
 
-// refusedError means that the owner refused a request because its expected wait exceeds its maximum.
-type refusedError struct {
-	wait time.Duration
-}
-
-// Error returns the message with the expected wait.
-func (e *refusedError) Error() string {
-	return "the expected wait for a slot is too long: " + e.wait.String()
-}
+// errRefused means that the owner refused a request because its expected wait exceeds its maximum.
+var errRefused = errors.New("the expected wait for a slot is too long")
 
 // requestSlot requests a slot from the owner, repeatedly, until it is granted or refused or ctx ends.
 func (h *Holder) requestSlot(ctx context.Context, q AskArgs) (*lease, error) {
@@ -220,7 +197,7 @@
 		if a.Refused {
 			h.withdraw(q, owner, c)
 
-			return nil, &refusedError{wait: time.Duration(a.WaitMS) * time.Millisecond}
+			return nil, errRefused
 		}
 
 		if target == "" {
--- a/slots/message.go
+++ b/slots/message.go
@@ -24,7 +24,6 @@
 type AskReply struct {
 	Target  string `msgpack:"target"`
 	Refused bool   `msgpack:"refused"` // the expected wait is too long
-	WaitMS  int64  `msgpack:"wait_ms"` // expected wait of a refused request
 }
 
 // WithdrawArgs ends the wait of a slot request.
--- a/slots/owner.go
+++ b/slots/owner.go
@@ -140,7 +140,7 @@
 	}
 
 	l := s.pool.Request(r, now)
-	a.Refused, a.WaitMS = l.IsRefused(), l.ExpectedWait().Milliseconds()
+	a.Refused = l.IsRefused()
 
 	for _, g := range l.Granted() {
 		if g.ID() == q.ID {
