Do not wait for slots of unresponsive holders, and eject a failure domain that is cut off

Online requests of the other failure domains waited 225 ms and got no slot: they were counted against preempted batch slots whose holders were cut off and did not release them. Others were sent to one unreachable worker after the other, 150 ms each.

Change: a preempted slot that is not released within 100 ms no longer counts as one that becomes free; another one is preempted, and the expected wait leaves it out, as it does slots of suspect targets. After two targets of a failure domain were unreachable within 1 s without a success there in between, all its targets are ejected and probed one by one; the first success restores those that have not failed themselves.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -57,6 +57,9 @@
 	initialLeaseDuration = time.Second
 	// leaseDurationWeight is the weight of a new lease in the moving average of lease durations.
 	leaseDurationWeight = 0.05
+	// maxYieldTime is the time within which a holder releases a preempted slot. A lease that is held for longer does not
+	// count as one that becomes free, as its holder may be cut off.
+	maxYieldTime = 100 * time.Millisecond
 	// batchPause is the time after a preemption in which batch work gets no slots. During a burst of online requests, a
 	// slot granted to batch work would be preempted within a few milliseconds, before the work could begin.
 	batchPause = 150 * time.Millisecond
@@ -96,7 +99,8 @@
 	releasedAt    map[string]time.Time // recent releases by lease
 	waiting       []*SlotRequest       // in the order of compareRequests
 	leaseDuration time.Duration        // moving average of online leases; 0 before the first
-	batchFrom     time.Time            // batch work gets no slots before this time
+	domains       map[string]*domainState
+	batchFrom     time.Time // batch work gets no slots before this time
 }
 
 // targetState is a target with its load.
@@ -105,6 +109,7 @@
 	usedSlots         int
 	pausedUntil       time.Time // no new work before this time; zero if the target is not paused
 	consecutiveFaults int
+	ejectedWithDomain bool                       // ejected because its failure domain seems to be cut off
 	idleConns         map[string]idleConnections // by holder
 }
 
@@ -188,9 +193,10 @@
 	online, batch, ahead := 0, 0, 1
 
 	for _, e := range p.leases {
-		if e.class == Online {
+		switch {
+		case e.class == Online:
 			online++
-		} else {
+		case p.canYield(e, now):
 			batch++
 		}
 	}
@@ -252,6 +258,7 @@
 
 	if v, ok := p.targets[target]; ok {
 		v.observe(f, now)
+		p.observeDomain(v, f, now)
 
 		if f == NoFault && holder != "" {
 			v.addIdleConn(holder, now)
@@ -296,7 +303,7 @@
 func (v *targetState) observe(f Fault, now time.Time) {
 	switch f {
 	case NoFault:
-		v.consecutiveFaults, v.pausedUntil = 0, time.Time{}
+		v.consecutiveFaults, v.ejectedWithDomain, v.pausedUntil = 0, false, time.Time{}
 	case Full:
 		v.pauseUntil(now.Add(fullTargetPause))
 	case Broken:
@@ -316,7 +323,9 @@
 }
 
 // isSuspect reports whether the target has been ejected and has not handled a request properly since.
-func (v *targetState) isSuspect() bool { return v.consecutiveFaults >= ejectionThreshold }
+func (v *targetState) isSuspect() bool {
+	return v.consecutiveFaults >= ejectionThreshold || v.ejectedWithDomain
+}
 
 // pauseUntil extends the time without new work. It never shortens it.
 func (v *targetState) pauseUntil(t time.Time) {
@@ -346,8 +355,8 @@
 		known[e.id] = true
 
 		if k, ok := p.leases[e.id]; ok {
-			if !k.preemptedAt.IsZero() && now.Sub(k.preemptedAt) >= preemptionRepeatInterval {
-				k.preemptedAt = now
+			if !k.preemptedAt.IsZero() && now.Sub(k.remindedAt) >= preemptionRepeatInterval {
+				k.remindedAt = now
 				repeated = append(repeated, *k)
 			}
 
--- a/pool/request.go
+++ b/pool/request.go
@@ -85,7 +85,8 @@
 	due                time.Time
 	runTime            time.Duration // counted from since
 	since              time.Time
-	preemptedAt        time.Time // when its holder was last told to release it; zero if it was not
+	preemptedAt        time.Time // when its holder was first told to release it; zero if it was not
+	remindedAt         time.Time // when its holder was last told so
 }
 
 // NewLease returns a lease as its holder reports it. The runTime is what is left of the work.
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -197,21 +197,29 @@
 	return l.since.Add(l.runTime).After(l.due) || now.After(l.due)
 }
 
-// preempt marks batch leases as preempted and returns them. n is the number of waiting online requests; leases that are
-// already preempted count towards it. Late items are preempted first, then those with the latest due time. Leases of
-// suspect targets are skipped.
+// canYield reports whether a batch lease can be preempted for an online request, or becomes free soon because it was.
+// Slots of suspect targets are no use to online requests.
+func (p *Pool) canYield(e *Lease, now time.Time) bool {
+	if v, ok := p.targets[e.target]; !ok || v.isSuspect() {
+		return false
+	}
+
+	return e.preemptedAt.IsZero() || now.Sub(e.preemptedAt) < maxYieldTime
+}
+
+// preempt marks batch leases as preempted and returns them. n is the number of waiting online requests; leases that
+// become free soon because they are already preempted count towards it. Late items are preempted first, then those with
+// the latest due time. Leases of suspect targets are skipped.
 func (p *Pool) preempt(n int, now time.Time) []Lease {
 	var l []*Lease
 
 	for _, e := range p.leases {
-		if e.class != Batch {
-			continue
-		}
-
-		if !e.preemptedAt.IsZero() {
-			n--
-		} else if v, ok := p.targets[e.target]; ok && !v.isSuspect() {
+		switch {
+		case e.class != Batch || !p.canYield(e, now):
+		case e.preemptedAt.IsZero():
 			l = append(l, e)
+		default:
+			n--
 		}
 	}
 
@@ -234,7 +242,7 @@
 	}
 
 	for _, e := range l[:max(0, min(n, len(l)))] {
-		e.preemptedAt = now
+		e.preemptedAt, e.remindedAt = now, now
 		r = append(r, *e)
 	}
 
