--- a/member/merge.go
+++ b/member/merge.go
@@ -173,6 +173,9 @@
 	wasInView := inView(e.change)
 	changed = wasInView != inView(*c) || wasInView && (e.change.Incarnation != c.Incarnation || e.change.Address != c.Address)
 
+	// Until its first incarnation is known, a listed daemon may be in the view as unconfirmed.
+	changed = changed || e.change.Incarnation == 0
+
 	if e.change.Incarnation != c.Incarnation {
 		e.incarnationSince = now
 	}
