Bound the bytes of responses without end

Cause: the worker client read the head of a response without a limit; a worker that sends a header line without end filled the memory of the VM until the attempt ended. Informational responses and responses to other requests had no bound on their bytes together. The text of an item had no bound.

An item whose text exceeds 1 MB discards it and starts again. The failed attempts of an item are now changed under the lock under which a handover reads them.

Conclusion: memory stays flat, the connection is closed, and the effect is that the request may have run.

--- a/batches/item.go
+++ b/batches/item.go
@@ -48,6 +48,16 @@
 	}
 }
 
+// discardEvents discards the events of the item, so that its next attempt starts from the first one. The caller holds
+// mu.
+func (u *runningItem) discardEvents() {
+	u.text, u.lastEvent, u.eventEnds, u.runID, u.parentRunID, u.parentEvent = nil, 0, nil, rand.Uint64(), 0, 0
+}
+
+// maxItemTextBytes limits the text of an item. Results above a megabyte cannot be listed, and a faulty target may send
+// events without end.
+const maxItemTextBytes = 1 << 20
+
 // itemSink adds the events of one attempt to the text of an item.
 type itemSink struct {
 	item        *runningItem
@@ -56,7 +66,10 @@
 	lastEventAt time.Time // arrival of the last event, or start of the attempt
 }
 
-var errNoEvents = errors.New("the target sent data of an item without an event number")
+var (
+	errNoEvents    = errors.New("the target sent data of an item without an event number")
+	errTextTooLong = errors.New("the text of an item is too long")
+)
 
 // Emit takes the head or a chunk of a response. It ignores the chunks of a response whose status is not 200.
 func (s *itemSink) Emit(e filter.Event) error {
@@ -77,6 +90,12 @@
 		u.mu.Lock()
 		defer u.mu.Unlock()
 
+		if len(u.text)+len(e.Text()) > maxItemTextBytes {
+			u.discardEvents()
+
+			return errTextTooLong
+		}
+
 		if u.lastEvent > 0 {
 			u.text = append(u.text, '\n')
 		}
--- a/batches/runner.go
+++ b/batches/runner.go
@@ -389,18 +389,19 @@
 // handleFailedAttempt counts an attempt that the target reported as failed and discards its events. It fails the item
 // if it has no attempts left on the route.
 func (r *Runner) handleFailedAttempt(ctx context.Context, u *runningItem, route routing.Route) {
-	u.failedAttempts++
 	u.mu.Lock()
-	u.text, u.lastEvent, u.eventEnds, u.runID, u.parentRunID, u.parentEvent = nil, 0, nil, rand.Uint64(), 0, 0
+	u.failedAttempts++
+	failed := u.failedAttempts
+	u.discardEvents()
 	u.mu.Unlock()
 
-	if u.failedAttempts >= route.Attempts() {
+	if failed >= route.Attempts() {
 		r.publishResult(ctx, u, batch.NewResult(u.item.ID(), "", false), "all runs of the item failed")
 
 		return
 	}
 
-	if err := r.batches.RecordFailure(ctx, u.jobID, u.item.ID(), u.failedAttempts); err != nil {
+	if err := r.batches.RecordFailure(ctx, u.jobID, u.item.ID(), failed); err != nil {
 		r.logger.Warn().Str("event", "fail_not_recorded").Str("job", u.jobID).Str("item", u.item.ID()).Err(err).
 			Msg("failed attempt of an item was not recorded; it is counted in memory only")
 	}
--- a/batches/runner_test.go
+++ b/batches/runner_test.go
@@ -85,7 +85,7 @@
 	return append([]int(nil), g.lastEvents[id]...)
 }
 
-func startRunner(d *daemon, g *fakeEngine, p fakePeers) (*batches.Runner, func()) {
+func startRunner(d *daemon, g filter.Handler, p fakePeers) (*batches.Runner, func()) {
 	ctx, stop := context.WithCancel(context.Background())
 	r := batches.NewRunner(d.Batches, g, fixedRoutes{}, p, unreachablePeers{}, time.Now, zerolog.Nop())
 	done := make(chan struct{})
@@ -211,3 +211,67 @@
 		So(p.Results()[0].Text(), ShouldEqual, eventTexts(1, 3))
 	})
 }
+
+// endlessEngine sends events of 64 KB without end in the first attempt of an item, and two short ones in the next.
+type endlessEngine struct {
+	mu       sync.Mutex
+	attempts int
+	sent     int // bytes of the first attempt
+}
+
+func (g *endlessEngine) Handle(ctx context.Context, r *filter.Request, s filter.Sink) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	g.attempts++
+	_ = s.Emit(filter.NewHead(r.ID(), 200, "text/event-stream"))
+
+	text := string(make([]byte, 64<<10))
+	last := 1 << 20
+
+	if g.attempts > 1 {
+		text, last = "x", 2
+	}
+
+	for n := r.LastEvent() + 1; n <= last; n++ {
+		if ctx.Err() != nil {
+			return outcome.New(outcome.Cancelled, outcome.Unknown, "ended")
+		}
+
+		if err := s.Emit(filter.NewChunk(r.ID(), n, nil, text)); err != nil {
+			return err
+		}
+
+		g.sent += len(text)
+	}
+
+	return nil
+}
+
+// Guards against a faulty worker whose events without end fill the memory of the daemon, and against an item that keeps
+// such events.
+func TestItemWithEventsWithoutEnd(t *testing.T) {
+	d := startDaemon(newMemoryLog(), 0)
+	defer d.shutDown()
+
+	ctx, stop := newTestContext()
+	defer stop()
+
+	Convey("When a worker sends events without end, the attempt ends and the next one starts from the first event", t, func() {
+		g := &endlessEngine{}
+		_, end := startRunner(d, g, fakePeers{})
+		defer end()
+
+		So(d.Submit(ctx, newJob("k", 1)), ShouldBeNil)
+
+		p, err := d.Results(ctx, "k", 0, maxPageBytes, 8*time.Second)
+		So(err, ShouldBeNil)
+		So(p.Results(), ShouldHaveLength, 1)
+		So(p.Results()[0].Text(), ShouldEqual, "x\nx")
+
+		g.mu.Lock()
+		defer g.mu.Unlock()
+
+		So(g.sent, ShouldBeLessThan, 2<<20)
+	})
+}
--- a/target/connpool.go
+++ b/target/connpool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -50,6 +51,8 @@
 type Conn struct {
 	net.Conn
 	reader            *bufio.Reader
+	readable          int64 // bytes that may still be read while limited
+	limited           bool
 	written           int64 // bytes since Get returned the connection
 	completedRequests int
 	expiresAt         time.Time // end of its time in the pool
@@ -70,6 +73,32 @@
 	return n, err
 }
 
+// errReadLimit means that more bytes arrived than LimitReads allows.
+var errReadLimit = errors.New("the target sent more bytes than expected")
+
+// LimitReads makes reads from the connection fail after n more bytes, until UnlimitReads is called. Bytes in the buffer
+// of Reader do not count.
+func (c *Conn) LimitReads(n int64) { c.limited, c.readable = true, n }
+
+// UnlimitReads ends the limit of LimitReads.
+func (c *Conn) UnlimitReads() { c.limited = false }
+
+// Read reads from the connection within the limit of LimitReads.
+func (c *Conn) Read(b []byte) (int, error) {
+	if !c.limited {
+		return c.Conn.Read(b)
+	}
+
+	if c.readable <= 0 {
+		return 0, errReadLimit
+	}
+
+	n, err := c.Conn.Read(b[:min(int64(len(b)), c.readable)])
+	c.readable -= int64(n)
+
+	return n, err
+}
+
 // Written returns the number of bytes written since Get returned the connection. If it is 0, the request cannot have
 // run.
 func (c *Conn) Written() int64 { return c.written }
@@ -106,7 +135,10 @@
 		return nil, err
 	}
 
-	return &Conn{Conn: n, reader: bufio.NewReaderSize(n, readBuffer)}, nil
+	k := &Conn{Conn: n}
+	k.reader = bufio.NewReaderSize(k, readBuffer)
+
+	return k, nil
 }
 
 // Put returns a connection to the pool after its response was read to the end. keepAlive is the time for which the
