--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -137,7 +137,7 @@
 	d.group.Add(func() error { return d.server.Serve(d.listeners[2]) }, func(error) { d.server.Close(); d.client.Close() })
 
 	addActor(&d.group, d.newConsumer(platform.TopicOperator, &routeSink{daemon: d}).Run)
-	addActor(&d.group, d.newConsumer(platform.TopicWorkers, &targetSink{targets: &d.targets, logger: d.logger}).WithHealth(&d.targets).WithReadDelay(d.targetReadDelay).Run)
+	addActor(&d.group, d.newConsumer(platform.TopicWorkers, &targetSink{targets: &d.targets, metrics: d.metrics, logger: d.logger}).WithHealth(&d.targets).WithReadDelay(d.targetReadDelay).Run)
 	members := mesh.NewMembers(
 		d.log, platform.TopicMembers, mesh.Record{Peer: self, Region: d.settings.Region, Operator: d.OperatorAddress()},
 		func(p mesh.Peer) { table.AddPeer(p, time.Now()) }, time.Now, d.logger)
--- a/daemon/sinks.go
+++ b/daemon/sinks.go
@@ -75,8 +75,10 @@
 
 // targetSink applies the registrations of targets that are read from the log to the registry.
 type targetSink struct {
-	targets *fleet.Registry
-	logger  zerolog.Logger
+	targets  *fleet.Registry
+	metrics  *metrics
+	logger   zerolog.Logger
+	rejected map[string]bool // targets whose last registration was invalid; used by the consumer only
 }
 
 // Reset applies all registrations and removes the targets that have none, because removals may be among the records
@@ -106,6 +108,7 @@
 	}
 
 	if len(k.Value()) == 0 {
+		delete(s.rejected, k.Key())
 		s.remove(k.Key(), k.Offset())
 
 		return
@@ -113,12 +116,13 @@
 
 	t, err := platform.DecodeWorker(k.Key(), k.Value())
 	if err != nil {
-		s.logger.Warn().Str("event", "target_rejected").Str("target", k.Key()).Err(err).Msg("removing a target with an invalid registration")
-		s.remove(k.Key(), k.Offset())
+		s.reject(k, err)
 
 		return
 	}
 
+	delete(s.rejected, k.Key())
+
 	if !s.targets.Put(t, k.Offset()) {
 		return
 	}
@@ -127,6 +131,29 @@
 		Int64("offset", k.Offset()).Msg("target registration changed")
 }
 
+// reject removes a target with an invalid registration. Only the first of several in a row is logged, as its writer may
+// renew it every second.
+func (s *targetSink) reject(k stream.KeyedRecord, err error) {
+	s.metrics.Count("rejected_registrations", 1)
+	s.targets.Remove(k.Key(), k.Offset(), time.Now())
+
+	if s.rejected[k.Key()] || len(s.rejected) >= maxRejectedTargets {
+		return
+	}
+
+	if s.rejected == nil {
+		s.rejected = map[string]bool{}
+	}
+
+	s.rejected[k.Key()] = true
+
+	s.logger.Warn().Str("event", "target_rejected").Str("target", k.Key()).Int64("offset", k.Offset()).Err(err).
+		Msg("removing a target with an invalid registration")
+}
+
+// maxRejectedTargets bounds the targets whose invalid registrations are remembered, as any writer can add keys.
+const maxRejectedTargets = 1000
+
 func (s *targetSink) remove(name string, offset int64) {
 	s.targets.Remove(name, offset, time.Now())
 	s.logger.Info().Str("event", "target_gone").Str("target", name).Int64("offset", offset).Msg("target removed")
