Do not use the slot of a hedge that got none

Change: an attempt with a slot takes precedence as the failed one, and a hedge without a slot excludes no target.

Figures: TestHedgeWithoutSlot panics before and passes after.

--- a/filter/dispatch.go
+++ b/filter/dispatch.go
@@ -116,11 +116,14 @@
 	x.failedTargets = nil
 }
 
-// excludeTarget excludes the target of a failed attempt from further attempts.
+// excludeTarget excludes the target of a failed attempt from further attempts. A hedge that got no slot has none.
 func (x *dispatchState) excludeTarget(a *attempt) {
 	x.preempted = nil
 	x.request.preferredTarget = ""
-	x.failedTargets = append(x.failedTargets, a.slot.Target().Name())
+
+	if a.slot != nil {
+		x.failedTargets = append(x.failedTargets, a.slot.Target().Name())
+	}
 }
 
 // canRetry reports whether another attempt after attempt n is safe and within the attempt limit and the budget. It is
@@ -171,8 +174,9 @@
 				return a, x.emitBuffered(a)
 			}
 
-			// Prefer the error of an attempt that was sent: it says more about the effect of the request.
-			if failed == nil || a.request.sent {
+			// Prefer the error of an attempt that was sent, as it says more about the effect of the request, and then that of
+			// an attempt that had a slot.
+			if failed == nil || a.request.sent || failed.slot == nil {
 				failed = a
 			}
 
