Release the slots of withdrawn requests, and drop the requests of lost holders

A request that was withdrawn while its grant was on the way kept its slot until the next report showed it, 400 ms and more. Requests of a lost daemon stayed queued; each was granted, and its slot was free again only after the notice had failed, up to 500 ms later.

Change: a withdrawal releases the slot at once. If a notice cannot be delivered, the waiting requests of that holder are dropped; a live holder repeats them. Waiting requests that are not repeated within 1.2 s (online) or 6 s (batch) are dropped.

Figures: the new cases of TestLostRepeatedAndLateMessages did not compile before (Withdraw had no effect on grants).

--- a/internal/model/fleet/fleet.go
+++ b/internal/model/fleet/fleet.go
@@ -307,7 +307,7 @@
 	m.at(m.now+u.MaxWait(), func() {
 		if _, ok := m.waiting[id]; ok && n == m.epoch {
 			delete(m.waiting, id)
-			m.pool.Withdraw(id)
+			m.apply(m.pool.Withdraw(id, m.time()))
 			m.refuse(c, began)
 		}
 	})
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -73,6 +73,10 @@
 	releaseRetention = time.Second
 )
 
+// maxAskAge is the time after which a waiting request is dropped unless its holder repeats it. Holders repeat requests
+// every 400 ms, those of batch items every 2 s; those of a lost holder would get slots that nobody uses.
+var maxAskAge = map[Class]time.Duration{Online: 1200 * time.Millisecond, Batch: 6 * time.Second}
+
 // Actions are the decisions of one call to a Pool. The slot owner has to pass them on to the slot holders.
 type Actions struct {
 	granted   []Lease
@@ -177,6 +181,7 @@
 		return Actions{refused: true}
 	}
 
+	r.askedAt = now
 	i, _ := slices.BinarySearchFunc(p.waiting, &r, compareRequests)
 	p.waiting = slices.Insert(p.waiting, i, &r)
 
@@ -224,25 +229,48 @@
 	return p.leaseDuration
 }
 
-// Withdraw removes a waiting request. It does not affect a request that has been granted.
-func (p *Pool) Withdraw(id string) {
+// Withdraw ends a request that its holder has given up. If it was granted in the meantime, its slot was not used and is
+// released.
+func (p *Pool) Withdraw(id string, now time.Time) Actions {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
 	p.waiting = slices.DeleteFunc(p.waiting, func(r *SlotRequest) bool { return r.id == id })
+
+	if _, ok := p.leases[id]; !ok {
+		return Actions{}
+	}
+
+	p.markReleased(id, now)
+	p.removeLease(id)
+
+	return p.schedule(now)
 }
 
-// Release ends a lease, records the fault of its target and schedules again. The lease may be unknown to this pool, as
-// another daemon may have granted it.
-func (p *Pool) Release(id, target string, f Fault, now time.Time) Actions {
+// DropWaiting removes the waiting requests of a holder that could not be notified. A holder that is live repeats them.
+func (p *Pool) DropWaiting(holder string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
+	p.waiting = slices.DeleteFunc(p.waiting, func(r *SlotRequest) bool { return r.holder == holder })
+}
+
+// markReleased records the release of a lease, so that a report sent before it does not restore the lease.
+func (p *Pool) markReleased(id string, now time.Time) {
 	if p.releasedAt == nil {
 		p.releasedAt = map[string]time.Time{}
 	}
 
 	p.releasedAt[id] = now
+}
+
+// Release ends a lease, records the fault of its target and schedules again. The lease may be unknown to this pool, as
+// another daemon may have granted it.
+func (p *Pool) Release(id, target string, f Fault, now time.Time) Actions {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.markReleased(id, now)
 
 	if e, ok := p.leases[id]; ok && e.class == Online && f == NoFault {
 		p.leaseDuration = p.meanLeaseDuration() +
@@ -383,8 +411,9 @@
 	return a
 }
 
-// Expire removes the leases of holders that have stopped reporting, and old releases and idle connections. It also
-// schedules again, so that targets whose pause has ended get work.
+// Expire removes the leases of holders that have stopped reporting, waiting requests that their holders have stopped
+// repeating, and old releases and idle connections. It also schedules again, so that targets whose pause has ended get
+// work.
 func (p *Pool) Expire(now time.Time) Actions {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -401,6 +430,8 @@
 		}
 	}
 
+	p.waiting = slices.DeleteFunc(p.waiting, func(r *SlotRequest) bool { return now.Sub(r.askedAt) > maxAskAge[r.class] })
+
 	for id, t := range p.releasedAt {
 		if now.Sub(t) > releaseRetention {
 			delete(p.releasedAt, id)
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -293,6 +293,50 @@
 		})
 	})
 
+	Convey("A request that is withdrawn after it was granted releases its slot at once", t, func() {
+		var p pool.Pool
+
+		fillPool(&p, newOnlineRequest("a", 300))
+		p.Request(newOnlineRequest("b", 300), at(1))
+		So(leaseIDs(p.Withdraw("a", at(5)).Granted()), ShouldResemble, []string{"b"})
+
+		Convey("and a report that was sent before does not restore the lease", func() {
+			p.Report("vm", []pool.Lease{pool.NewLease("a", "vm", "t", pool.Online, at(300), 0)}, at(6))
+			used, _ := p.Usage()
+			So(used, ShouldEqual, 1)
+		})
+	})
+
+	Convey("The waiting requests of a holder that cannot be notified are dropped", t, func() {
+		var p pool.Pool
+
+		fillPool(&p, newOnlineRequest("a", 300))
+		p.Request(pool.NewSlotRequest("lost1", "lost", "a", pool.Online, 0, at(100)), at(1))
+		p.Request(pool.NewSlotRequest("lost2", "lost", "a", pool.Batch, 0, at(100)), at(1))
+		p.Request(newBatchRequest("b", 300), at(1))
+		p.DropWaiting("lost")
+		So(p.Waiting(pool.Online), ShouldEqual, 0)
+		So(leaseIDs(p.Release("a", "t", pool.NoFault, at(5)).Granted()), ShouldResemble, []string{"b"})
+	})
+
+	Convey("A waiting request that its holder does not repeat is dropped", t, func() {
+		var p pool.Pool
+
+		fillPool(&p, newOnlineRequest("a", 9000))
+		p.Request(newOnlineRequest("o", 300), at(1))
+		p.Request(newBatchRequest("b", 300), at(1))
+		p.Expire(at(1000))
+		So(p.Waiting(pool.Online), ShouldEqual, 1)
+
+		p.Request(newBatchRequest("b", 300), at(2000))
+		p.Expire(at(2500))
+		So(p.Waiting(pool.Online), ShouldEqual, 0)
+		So(p.Waiting(pool.Batch), ShouldEqual, 1)
+
+		p.Expire(at(9000))
+		So(p.Waiting(pool.Batch), ShouldEqual, 0)
+	})
+
 	Convey("A new owner learns the leases from reports", t, func() {
 		var p pool.Pool
 
--- a/pool/request.go
+++ b/pool/request.go
@@ -24,6 +24,7 @@
 	excluded           []string
 	preferred          string
 	late               bool
+	askedAt            time.Time // when the holder last sent the request
 }
 
 // NewSlotRequest returns a slot request of holder, a daemon in a failure domain. The id is unique among all daemons.
--- a/slots/owner.go
+++ b/slots/owner.go
@@ -153,9 +153,10 @@
 	return nil
 }
 
-// Withdraw ends the wait of a slot request.
+// Withdraw ends a slot request that its holder has given up.
 func (o *Owner) Withdraw(q WithdrawArgs, _ *Empty) error {
-	o.servicePool(q.Service).pool.Withdraw(q.ID)
+	s := o.servicePool(q.Service)
+	o.sendNotices(q.Service, s, s.pool.Withdraw(q.ID, time.Now()), "")
 
 	return nil
 }
@@ -228,12 +229,13 @@
 			continue
 		}
 
-		go o.sendNotice(service, s, address, *n, now)
+		go o.sendNotice(service, s, h, address, *n, now)
 	}
 }
 
-// sendNotice delivers a notice to another daemon. If that fails, the slots that it grants are released.
-func (o *Owner) sendNotice(service string, s *servicePool, address string, n NoticeArgs, now time.Time) {
+// sendNotice delivers a notice to another daemon. If that fails, the slots that it grants are released, and the waiting
+// requests of the daemon are dropped, which would be granted next.
+func (o *Owner) sendNotice(service string, s *servicePool, holder, address string, n NoticeArgs, now time.Time) {
 	ctx, stop := context.WithDeadline(context.Background(), now.Add(noticeTimeout))
 	defer stop()
 
@@ -241,6 +243,8 @@
 		return
 	}
 
+	s.pool.DropWaiting(holder)
+
 	for _, g := range n.Grants {
 		o.sendNotices(service, s, s.pool.Release(g.ID, g.Target, pool.Unused, time.Now()), "")
 	}
