Move the pause of TestTable behind the longer takeover timeout

Cause: the case checks that a pause gives a grace time to a daemon that already counts as lost; with takeoverTimeout at 7 s, the daemon has to be silent for longer. The grace time and both of its bounds are checked as before.

--- a/mesh/table_test.go
+++ b/mesh/table_test.go
@@ -95,10 +95,10 @@
 			So(x.IsRunning("b", 1, at(6900)), ShouldBeTrue) // work of a daemon that was cut off for 6 s is not run again
 			So(x.IsRunning("b", 1, at(7100)), ShouldBeFalse)
 
-			x.ResumeAfterPause(at(5000))
-			So(x.IsRunning("b", 1, at(5100)), ShouldBeTrue)
-			So(x.IsRunning("unknown", 1, at(5100)), ShouldBeTrue)
-			So(x.IsRunning("b", 1, at(7000)), ShouldBeFalse)
+			x.ResumeAfterPause(at(8000))
+			So(x.IsRunning("b", 1, at(8100)), ShouldBeTrue)
+			So(x.IsRunning("unknown", 1, at(8100)), ShouldBeTrue)
+			So(x.IsRunning("b", 1, at(10000)), ShouldBeFalse)
 		})
 
 		Convey("a record of an earlier incarnation changes nothing", func() {
