--- a/internal/model/fleet/fleet.go
+++ b/internal/model/fleet/fleet.go
@@ -15,14 +15,14 @@
 
 // Settings describe the fleet and its callers. The zero value of a field stands for its default.
 type Settings struct {
-	Workers   int           `toml:"workers"`    // number of workers; 9
-	Slots     int           `toml:"slots"`      // slots of a worker; 8
-	Load      float64       `toml:"load"`       // mean share of the slots that online requests take; 0.5
-	BatchLoad float64       `toml:"batch_load"` // mean share of the slots that batch items take; 0.3
-	RunTime   time.Duration `toml:"-"`          // mean run time of an online request; 650 ms
-	ItemTime  time.Duration `toml:"-"`          // run time of a batch item; 4.8 s
-	Objective time.Duration `toml:"-"`          // time from the first attempt to the first event; 300 ms
-	Patience  time.Duration `toml:"-"`          // time for which a caller waits; 5 s
+	Workers   int           // number of workers; 9
+	Slots     int           // slots of a worker; 8
+	Load      float64       // mean share of the slots that online requests take; 0.5
+	BatchLoad float64       // mean share of the slots that batch items take; 0.3
+	RunTime   time.Duration // mean run time of an online request; 650 ms
+	ItemTime  time.Duration // run time of a batch item; 4.8 s
+	Objective time.Duration // time from the first attempt to the first event; 300 ms
+	Patience  time.Duration // time for which a caller waits; 5 s
 }
 
 func (s Settings) withDefaults() Settings {
--- a/internal/model/fleet/result.go
+++ b/internal/model/fleet/result.go
@@ -10,16 +10,16 @@
 
 // Result counts what became of the callers and items of a run.
 type Result struct {
-	OnTime      int `json:"on_time"`       // first event within the objective of the first attempt
-	OnReturn    int `json:"on_return"`     // refused at once, and first event within the objective of the next attempt
-	Late        int `json:"late"`          // served later
-	Failed      int `json:"failed"`        // not served
-	Refusals    int `json:"refusals"`      // attempts that were refused
-	ItemsOnTime int `json:"items_on_time"` // batch items
-	ItemsLate   int `json:"items_late"`
+	OnTime      int // first event within the objective of the first attempt
+	OnReturn    int // refused at once, and first event within the objective of the next attempt
+	Late        int // served later
+	Failed      int // not served
+	Refusals    int // attempts that were refused
+	ItemsOnTime int // batch items
+	ItemsLate   int
 	// Reference is the number of callers that a fleet which knows all run times and arrivals in advance would serve within
 	// the objective of the first attempt, if no batch work ran.
-	Reference int `json:"reference"`
+	Reference int
 
 	events int
 }
