Send one heartbeat for each pair of daemons, and let idle slot owners sleep

Each daemon sent a heartbeat to every other one in each interval, so that each pair exchanged two, and each one woke 40 times a second to update pools that only the slot owner uses.

Change: a heartbeat says whether its sender has heard from the receiver lately. If it has, and both know the same daemons, the receiver takes it for a reply and sends none in that interval; after a failed call it does. An owner without leases and waiting requests wakes twice a second and at the next request.

--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -46,6 +46,9 @@
 type Heartbeat struct {
 	From   Peer   `msgpack:"from"`
 	Digest uint64 `msgpack:"digest"` // Table.Digest of the sender
+	// HeardStart is the start of the receiver's incarnation that has replied to the sender lately; 0 if none has. The
+	// sender is then reachable in both directions.
+	HeardStart int64 `msgpack:"heard_start"`
 	// Leaving has the targets of recent announcements that the sender knows of.
 	Leaving []LeavingTarget `msgpack:"leaving"`
 }
@@ -127,7 +130,8 @@
 // Table returns the table of peers.
 func (m *Mesh) Table() *Table { return m.table }
 
-// Beat handles a heartbeat of another daemon. It adds the sender to the table, but does not mark it as live.
+// Beat handles a heartbeat of another daemon. It adds the sender to the table, and marks it as live only if it has heard
+// from this daemon.
 func (m *Mesh) Beat(q Heartbeat, a *HeartbeatReply) error {
 	now := time.Now()
 	d := m.table.Digest()
@@ -137,6 +141,10 @@
 
 	a.From, a.Leaving = m.table.Self(), m.recentlyLeaving(now)
 
+	if q.HeardStart == a.From.Start {
+		m.table.MarkHeard(q.From, q.Digest == d, now)
+	}
+
 	if q.Digest != d {
 		a.Peers = m.table.KnownPeers(now)
 		a.Peers = a.Peers[:min(len(a.Peers), maxPeersPerMessage)]
@@ -166,7 +174,9 @@
 		last = now
 
 		for _, p := range l {
-			wg.Go(func() { m.sendHeartbeat(ctx, p.VM, p.Address) })
+			if m.table.NeedsHeartbeat(p.VM, len(l), now) {
+				wg.Go(func() { m.sendHeartbeat(ctx, p.VM, p.Address) })
+			}
 		}
 
 		if len(l) == 0 {
@@ -198,7 +208,9 @@
 
 	var a HeartbeatReply
 
-	q := Heartbeat{From: self, Digest: m.table.Digest(), Leaving: m.recentlyLeaving(time.Now())}
+	q := Heartbeat{
+		From: self, Digest: m.table.Digest(), HeardStart: m.table.HeardStart(vm, time.Now()), Leaving: m.recentlyLeaving(time.Now()),
+	}
 
 	if err := m.client.Call(x, address, "Mesh.Beat", q, &a); err != nil {
 		if vm != "" {
--- /dev/null
+++ b/mesh/heartbeat_test.go
@@ -0,0 +1,139 @@
+package mesh_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agategap/agategap/mesh"
+)
+
+var errCut = errors.New("no reply")
+
+// meshNetwork delivers the heartbeats of daemons by address and counts them.
+type meshNetwork struct {
+	mu    sync.Mutex
+	nodes map[string]*mesh.Mesh
+	beats int
+	cut   map[string]bool // directions "from>to" in which nothing arrives
+}
+
+// client is the connection of one daemon to the network.
+type client struct {
+	network *meshNetwork
+	from    string
+}
+
+func (c client) Call(_ context.Context, address, _ string, q, a any) error {
+	n := c.network
+
+	n.mu.Lock()
+	n.beats++
+	m, lost, replyLost := n.nodes[address], n.cut[c.from+">"+address], n.cut[address+">"+c.from]
+	n.mu.Unlock()
+
+	if m == nil || lost {
+		return errCut
+	}
+
+	err := m.Beat(q.(mesh.Heartbeat), a.(*mesh.HeartbeatReply))
+	if replyLost {
+		return errCut
+	}
+
+	return err
+}
+
+func (n *meshNetwork) count() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.beats
+}
+
+func (n *meshNetwork) setCut(direction string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.cut[direction] = cut
+}
+
+// startMeshes runs n daemons that know the first one as their seed. They are stopped at the end of the test.
+func startMeshes(t *testing.T, n int) *meshNetwork {
+	t.Helper()
+
+	x := &meshNetwork{nodes: map[string]*mesh.Mesh{}, cut: map[string]bool{}}
+	ctx, stop := context.WithCancel(context.Background())
+
+	var wg sync.WaitGroup
+
+	for i := range n {
+		vm := fmt.Sprint("vm", i)
+		x.nodes[vm] = mesh.NewMesh(mesh.New(mesh.Peer{VM: vm, Address: vm, Start: time.Now().UnixMilli()}), client{x, vm}, []string{"vm0"}, zerolog.Nop())
+	}
+
+	for _, m := range x.nodes {
+		wg.Go(func() { _ = m.Run(ctx) })
+		time.Sleep(20 * time.Millisecond)
+	}
+
+	t.Cleanup(func() { stop(); wg.Wait() })
+
+	return x
+}
+
+func (n *meshNetwork) live(vm string) int { return len(n.nodes[vm].Table().LivePeers(time.Now())) }
+
+func (n *meshNetwork) allLive() bool {
+	for vm := range n.nodes {
+		if n.live(vm) != len(n.nodes)-1 {
+			return false
+		}
+	}
+
+	return true
+}
+
+func within(d time.Duration, holds func() bool) bool {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return true
+		}
+	}
+
+	return holds()
+}
+
+// Guards against two heartbeats between each pair of daemons where one shows both that they are live, and against
+// daemons that count as live although they do not get what is sent to them.
+func TestOneHeartbeatForEachPair(t *testing.T) {
+	n := startMeshes(t, 6)
+
+	Convey("All daemons find each other", t, func() { So(within(3*time.Second, n.allLive), ShouldBeTrue) })
+
+	Convey("In each interval, about one heartbeat is sent for each pair", t, func() {
+		time.Sleep(time.Second)
+
+		before := n.count()
+		time.Sleep(2 * time.Second) // eight intervals of 250 ms
+
+		const pairs = 15
+
+		So(n.count()-before, ShouldBeBetween, 6*pairs, 11*pairs)
+		So(n.allLive(), ShouldBeTrue)
+	})
+
+	Convey("When nothing arrives in one direction, both daemons notice", t, func() {
+		n.setCut("vm1>vm2", true)
+		So(within(3*time.Second, func() bool { return n.live("vm1") == 4 && n.live("vm2") == 4 }), ShouldBeTrue)
+
+		n.setCut("vm1>vm2", false)
+		So(within(3*time.Second, n.allLive), ShouldBeTrue)
+	})
+}
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -99,6 +99,7 @@
 type peerState struct {
 	peer      Peer
 	lastReply time.Time // time of the last reply; zero if there was none
+	heardAt   time.Time // last heartbeat from a daemon that has heard from this one; zero if there was none
 	addedAt   time.Time
 	failed    bool // the last call failed
 }
@@ -210,6 +211,55 @@
 	}
 }
 
+// MarkHeard records a heartbeat from a daemon that has heard from this one, which shows as much as a reply from it. If
+// both know the same daemons, no heartbeat has to be sent to it in the same interval.
+func (t *Table) MarkHeard(p Peer, sameDigest bool, now time.Time) {
+	t.MarkReplied(p, now)
+
+	h := t.shard(p.VM)
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if s, ok := h.peers[p.VM]; ok && s.peer.Start == p.Start && sameDigest {
+		s.heardAt = now
+	}
+}
+
+// heardShare is the share of the heartbeat interval for which a heartbeat of a daemon replaces one to it.
+const heardShare = 0.9
+
+// NeedsHeartbeat reports whether a heartbeat has to be sent to one of n peers: unless it has sent one that shows that
+// both directions work within the interval, and no call to it has failed since.
+func (t *Table) NeedsHeartbeat(vm string, n int, now time.Time) bool {
+	h := t.shard(vm)
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	s, ok := h.peers[vm]
+
+	return !ok || s.failed || now.Sub(s.heardAt) > time.Duration(heardShare*float64(HeartbeatInterval(n)))
+}
+
+// HeardStart returns the start of the incarnation of a daemon that has replied within the last two heartbeat intervals;
+// 0 if there is none.
+func (t *Table) HeardStart(vm string, now time.Time) int64 {
+	const intervals = 2
+
+	n := t.peerCount()
+	h := t.shard(vm)
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if s, ok := h.peers[vm]; ok && !s.failed && now.Sub(s.lastReply) <= intervals*HeartbeatInterval(n) {
+		return s.peer.Start
+	}
+
+	return 0
+}
+
 // MarkFailed records that a call to a daemon failed. The daemon is not live until it replies to a call.
 func (t *Table) MarkFailed(vm string) {
 	h := t.shard(vm)
--- a/slots/owner.go
+++ b/slots/owner.go
@@ -20,6 +20,8 @@
 	// poolUpdateInterval is the time between two updates of all pools. An update sets the targets, grants the slots of
 	// targets whose pause has ended, and removes the leases of holders that have stopped reporting.
 	poolUpdateInterval = 25 * time.Millisecond
+	// idleUpdateInterval is the same while no pool has leases or waiting requests, as in most daemons.
+	idleUpdateInterval = 500 * time.Millisecond
 	// noticeTimeout bounds a notice. A holder that misses a grant repeats its request.
 	noticeTimeout = 500 * time.Millisecond
 	// takeoverBatchDelay is the time for which a daemon that has just become the owner of a service grants no slots for
@@ -52,6 +54,7 @@
 	targets        Targets
 	address        string // of this daemon
 	noticeReceiver NoticeReceiver
+	requested      chan struct{} // a slot was requested; ends the wait of an idle Run
 	shards         [ownerShardCount]ownerShard
 }
 
@@ -70,7 +73,7 @@
 
 // NewOwner returns the owner of the daemon at the address self. Notices to that address go to the NoticeReceiver.
 func NewOwner(c PeerClient, t Targets, self string) *Owner {
-	return &Owner{client: c, targets: t, address: self}
+	return &Owner{client: c, targets: t, address: self, requested: make(chan struct{}, 1)}
 }
 
 // SetNoticeReceiver sets the receiver of the notices for this daemon. Call it before the first slot request.
@@ -126,6 +129,11 @@
 	s := o.servicePool(q.Service)
 	s.setAddress(q.Holder, q.Address)
 
+	select {
+	case o.requested <- struct{}{}:
+	default:
+	}
+
 	c := pool.Online
 	if q.Batch {
 		c = pool.Batch
@@ -252,12 +260,15 @@
 
 // Run updates the targets of the pools and expires leases until ctx ends. It returns nil.
 func (o *Owner) Run(ctx context.Context) error {
-	t := time.NewTicker(poolUpdateInterval)
-	defer t.Stop()
+	for ctx.Err() == nil {
+		interval, requested := poolUpdateInterval, (<-chan struct{})(nil)
+		if o.isIdle() {
+			interval, requested = idleUpdateInterval, o.requested
+		}
 
-	for {
 		select {
-		case <-t.C:
+		case <-time.After(interval):
+		case <-requested:
 		case <-ctx.Done():
 			return nil
 		}
@@ -273,6 +284,19 @@
 			o.sendNotices(n, s, s.pool.Expire(time.Now()), "")
 		}
 	}
+
+	return nil
+}
+
+// isIdle reports whether no pool has leases or waiting requests.
+func (o *Owner) isIdle() bool {
+	for _, s := range o.servicePools() {
+		if used, _ := s.pool.Usage(); used > 0 || s.pool.Waiting(pool.Online)+s.pool.Waiting(pool.Batch) > 0 {
+			return false
+		}
+	}
+
+	return true
 }
 
 func (o *Owner) servicePools() map[string]*servicePool {
