Keep the rankings of followers for a second

Each check ranked all daemons anew for each of 8 partitions, so that its cost grew with the number of daemons.

Change: rankings by failure domain are kept for 1 s. Rankings of slot owners now also end when a daemon is removed from the table.

--- a/mesh/followers.go
+++ b/mesh/followers.go
@@ -2,14 +2,27 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 )
 
 // RankedPerDomain returns the daemons that are jointly responsible for a key, such as the followers of a partition: up
 // to perDomain of each failure domain, so that a domain that is partitioned off can continue. Daemons with the
 // most processor time come first, then rendezvous hashing decides. A daemon that does not reply for a short time stays
-// included, as taking over its work is costly.
+// included, as taking over its work is costly. The result must not be changed.
 func (t *Table) RankedPerDomain(key string, perDomain int, now time.Time) []Peer {
+	cacheKey := strconv.Itoa(perDomain) + "/" + key
+
+	l, generation := t.domainRankings.get(cacheKey, domainRankingTTL, now)
+	if l == nil {
+		l = t.rankPerDomain(key, perDomain, now)
+		t.domainRankings.put(cacheKey, l, now, generation)
+	}
+
+	return l
+}
+
+func (t *Table) rankPerDomain(key string, perDomain int, now time.Time) []Peer {
 	n := t.peerCount()
 	canDetect, self := t.canDetectFailures(now), t.Self()
 	var l []Peer
--- a/mesh/ranking.go
+++ b/mesh/ranking.go
@@ -13,6 +13,10 @@
 // replying, which takes several heartbeat intervals of at least 250 ms.
 const rankingTTL = 50 * time.Millisecond
 
+// domainRankingTTL is the same for RankedPerDomain, which every daemon needs several times a second for each partition.
+// It is short against takeoverTimeout, and incarnations and leaving daemons take effect at once.
+const domainRankingTTL = time.Second
+
 // rankingCache keeps rankings by key, as every request needs one and sorting several hundred daemons takes long.
 type rankingCache struct {
 	mu         sync.Mutex
@@ -35,12 +39,12 @@
 	r.generation++
 }
 
-// get returns the ranking for a key, or nil if there is none or it is too old, and the generation to pass to put.
-func (r *rankingCache) get(key string, now time.Time) ([]Peer, int) {
+// get returns the ranking for a key, or nil if there is none or it is older than ttl, and the generation to pass to put.
+func (r *rankingCache) get(key string, ttl time.Duration, now time.Time) ([]Peer, int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	if v, ok := r.rankings[key]; ok && now.Sub(v.rankedAt) >= 0 && now.Sub(v.rankedAt) < rankingTTL {
+	if v, ok := r.rankings[key]; ok && now.Sub(v.rankedAt) >= 0 && now.Sub(v.rankedAt) < ttl {
 		return v.peers, r.generation
 	}
 
@@ -68,7 +72,7 @@
 // before others, as a small VM may need all of its time for the requests of its callers. Rendezvous hashing decides
 // among the rest. This daemon is included unless it is leaving and another one is live. The result must not be changed.
 func (t *Table) RankedPeers(key string, now time.Time) []Peer {
-	l, generation := t.rankings.get(key, now)
+	l, generation := t.rankings.get(key, rankingTTL, now)
 	if l != nil {
 		return l
 	}
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -56,7 +56,9 @@
 	hasTargets   func() bool
 	runningSince time.Time // when this daemon started or resumed after a pause
 	shards       [tableShardCount]tableShard
-	rankings     rankingCache
+	rankings     rankingCache // of RankedPeers
+
+	domainRankings rankingCache // of RankedPerDomain; invalidated by new incarnations, leaving daemons and pauses
 }
 
 type tableShard struct {
@@ -124,6 +126,7 @@
 	defer t.mu.Unlock()
 
 	t.runningSince = now
+	t.domainRankings.invalidate()
 }
 
 // canDetectFailures reports whether this daemon has been running long enough for missing replies to mean a failure.
@@ -154,6 +157,7 @@
 
 	t.self.Leaving = true
 	t.rankings.invalidate()
+	t.domainRankings.invalidate()
 }
 
 func (t *Table) shard(vm string) *tableShard { return &t.shards[shard.Index(vm, tableShardCount)] }
@@ -178,6 +182,7 @@
 	if ok && p.Start == s.peer.Start {
 		if p.Leaving && !s.peer.Leaving {
 			t.rankings.invalidate()
+			t.domainRankings.invalidate()
 		}
 
 		s.peer.Leaving = s.peer.Leaving || p.Leaving
@@ -187,6 +192,7 @@
 
 	h.put(p, now)
 	t.rankings.invalidate()
+	t.domainRankings.invalidate()
 
 	return true
 }
@@ -205,6 +211,10 @@
 			t.rankings.invalidate()
 		}
 
+		if p.Leaving && !s.peer.Leaving {
+			t.domainRankings.invalidate()
+		}
+
 		s.lastReply, s.failed = now, false
 		s.peer.Parts, s.peer.Unable = p.Parts, p.Unable
 		s.peer.Leaving = s.peer.Leaving || p.Leaving
@@ -282,6 +292,8 @@
 	defer h.mu.Unlock()
 
 	h.remove(vm)
+	t.rankings.invalidate()
+	t.domainRankings.invalidate()
 }
 
 // peerCount returns the number of other daemons.
