review: make the driver of the scripts a test binary

Change: the sources of the driver are test files and review/build.sh builds their test binary; nothing else in them changed.

--- a/review/_driver/silent_store.go
+++ b/review/_driver/silent_store_test.go
@@ -1,4 +1,4 @@
-package main
+package driver_test
 
 import (
 	"errors"
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the driver of the scripts, with their stand-ins, after the build of deploy/system.toml.
+# Builds the driver of the scripts, a test binary with their stand-ins, after the build of deploy/system.toml.
 set -e
 cd "$(dirname "$0")/.."
-go build -o review/bin/driver ./review/_driver
+go test -c -o review/bin/driver ./review/_driver
