--- a/review/_driver/restart_load_test.go
+++ b/review/_driver/restart_load_test.go
@@ -14,6 +14,8 @@
 	// rounds is how often all daemons are restarted in turn, one of each zone at a time, restartGap apart (roll_term).
 	rounds     = 8
 	restartGap = time.Second
+	// recentJobs bounds the age of the jobs that are asked for. It exceeds the time between two restarts of a daemon.
+	recentJobs = 30 * time.Second
 )
 
 // restartLoad submits batch jobs all the time, which are completed within a few seconds, and restarts the daemons in
@@ -70,7 +72,7 @@
 		mu.Unlock()
 		missing := 0
 		for _, j := range known {
-			if time.Since(j.accepted) < settleTime {
+			if age := time.Since(j.accepted); age < settleTime || age > recentJobs {
 				continue
 			}
 			for _, d := range l {
