batches: reject a job only if it is not in the log

Cause: after an append without a response, the writer read the partition and ended the doubt about its changes as soon as the partition had moved on. It left it to the next round to see in the replica that a change is in the log. A change whose caller had left was completed between the two, as not accepted. The same happened if the read returned only the first records of the append, and if the log was full at the next append.

Change: the writer reads up to the end of the partition and completes the changes that the replica then has; only the others are no longer in doubt. A change in doubt is never rejected with NotRun. New log lines append_in_doubt and append_resolved tell what became of an append.

Why it works: appends have the condition that the partition ends at an offset, so once the replica is past it, it has the change or never will.

--- a/batches/writer.go
+++ b/batches/writer.go
@@ -253,14 +253,7 @@
 	case err == nil:
 		w.partition.consumer.ApplyAppended(records, o)
 	case errors.Is(err, stream.ErrOffsetMismatch), errors.Is(err, stream.ErrUnconfirmed):
-		w.resolveInDoubt(ctx, at, used, errors.Is(err, stream.ErrOffsetMismatch))
-	case errors.Is(err, stream.ErrTooLarge):
-		for _, c := range used {
-			c.inDoubt = false
-			c.complete(outcome.New(outcome.TooLarge, outcome.NotRun, "the change is too large for the log").WithCause(err))
-		}
-
-		*group = removeChanges(*group, used)
+		*group = removeChanges(*group, w.resolveInDoubt(ctx, at, used, errors.Is(err, stream.ErrOffsetMismatch)))
 	default:
 		// This append had no effect. Changes that were in doubt before it stay so, as an earlier append may still take
 		// effect.
@@ -269,6 +262,14 @@
 		}
 	}
 
+	if errors.Is(err, stream.ErrTooLarge) {
+		for _, c := range used {
+			c.reject(outcome.New(outcome.TooLarge, outcome.NotRun, "the change is too large for the log").WithCause(err))
+		}
+
+		*group = removeChanges(*group, used)
+	}
+
 	if err != nil {
 		e := w.logger.Info()
 		if errors.Is(err, stream.ErrOffsetMismatch) {
@@ -292,20 +293,45 @@
 
 // resolveInDoubt reads up to the end of the partition after an append at offset at was not confirmed, or failed because
 // the partition ends elsewhere, which is a mismatch. Once it ends elsewhere, an append on the condition of that offset
-// can no longer take effect, and the changes are no longer in doubt.
-func (w *writer) resolveInDoubt(ctx context.Context, at int64, used []*change, mismatch bool) {
+// can no longer take effect, and the replica tells which changes are in the log. resolveInDoubt completes and returns
+// those; the others are no longer in doubt. All changes stay in doubt if the partition cannot be read up to its end, as
+// a read may return only some records of an append.
+func (w *writer) resolveInDoubt(ctx context.Context, at int64, used []*change, mismatch bool) []*change {
 	x, stop := context.WithTimeout(ctx, syncTimeout)
 	defer stop()
 
-	if err := w.partition.consumer.Sync(x); err != nil {
-		return
+	err := w.partition.consumer.EnsureFresh(x, 0)
+	next := w.partition.consumer.NextOffset()
+
+	if err != nil || next <= at && !mismatch {
+		w.logger.Info().Str("event", "append_in_doubt").Err(err).Int("part", w.number).Int64("at", at).Int64("next", next).
+			Int("changes", len(used)).Msg("an append that the log did not confirm may still take effect")
+
+		return nil
 	}
 
-	if w.partition.consumer.NextOffset() > at || mismatch {
-		for _, c := range used {
-			c.inDoubt = false // if it is in the log, build returns no records from now on
+	var applied []*change
+
+	for _, c := range used {
+		// An encoder of its own, as one encoder returns the records of an item's result only once.
+		r, err := c.build(batch.NewResultEncoder(w.partition.replica, w.limits.maxRecordBytes))
+		if err == nil && len(r) == 0 {
+			c.complete(nil)
+
+			applied = append(applied, c)
+
+			continue
 		}
+
+		c.inDoubt = false
 	}
+
+	if !mismatch {
+		w.logger.Info().Str("event", "append_resolved").Int("part", w.number).Int64("at", at).Int64("next", next).
+			Int("changes", len(used)).Int("in_log", len(applied)).Msg("read which changes of an unconfirmed append are in the log")
+	}
+
+	return applied
 }
 
 // buildRecords returns the records of a group that fit into one append, and the changes that they are of. It completes
@@ -320,7 +346,7 @@
 
 		switch {
 		case err != nil:
-			c.complete(outcome.New(outcome.InvalidRequest, outcome.NotRun, "the change cannot be recorded").WithCause(err))
+			c.reject(outcome.New(outcome.InvalidRequest, outcome.NotRun, "the change cannot be recorded").WithCause(err))
 
 			done = append(done, c)
 		case len(r) == 0:
@@ -369,6 +395,15 @@
 	return outcome.New(outcome.LogUnavailable, outcome.NotRun, "the log did not accept the change").WithRetryAfter(time.Second)
 }
 
+// reject completes a change that the log cannot take, with err unless an earlier append of the change is in doubt.
+func (c *change) reject(err error) {
+	if c.inDoubt {
+		err = unconfirmedError(c)
+	}
+
+	c.complete(err)
+}
+
 func (c *change) complete(err error) { c.done <- err }
 
 // removeChanges returns l without the changes in removed. It reuses the array of l.
