batches: append all records of a large job on a condition

Cause: a job whose records exceed one append had its first chunks of items appended without a condition. The store executed such an append 5 s after its response was lost and the job had been completed by another attempt. The old chunks replaced those without bodies, so that the number of items no longer matched the job's record, and daemons that loaded the partition rejected the job.

Change: the chunks are changes of the writer like all others, appended on the condition that the partition ends where the replica does.

Why it works: once anything was appended after it, an append on the condition of an earlier offset cannot take effect, however late the store executes it.

--- a/batches/writer.go
+++ b/batches/writer.go
@@ -57,8 +57,8 @@
 	}
 }
 
-// submit appends a job. If its records do not fit into one append, it appends chunks of items unconditionally first;
-// they have no effect before the record of the job.
+// submit appends a job. If its records do not fit into one append, it appends chunks of items first; they have no effect
+// before the record of the job.
 func (w *writer) submit(ctx context.Context, s batch.Submission) error {
 	r, err := s.Encode(w.limits.maxRecordBytes)
 	if err != nil {
@@ -68,7 +68,7 @@
 	rest := slices.Concat(r.Chunks(), []stream.KeyedRecord{r.Job()})
 	for appendSize(rest) > w.limits.maxAppendBytes {
 		n := w.fittingRecords(rest)
-		if _, err := w.log.Append(ctx, Stream, w.number, rest[:n], stream.AnyOffset); err != nil {
+		if err := w.appendJobRecords(ctx, s.ID(), rest[:n]); err != nil {
 			return outcome.New(outcome.LogUnavailable, outcome.NotRun, "the log did not accept the items of the job").
 				WithRetryAfter(time.Second).WithCause(err)
 		}
@@ -76,12 +76,19 @@
 		rest = rest[n:]
 	}
 
+	return w.appendJobRecords(ctx, s.ID(), rest)
+}
+
+// appendJobRecords appends records of a job unless the log has the record of the job itself. Chunks of items are appended
+// as a change too, on the condition of an offset: the log may execute an append seconds after it was given up, and chunks
+// that replace those of a completed job would make the job unreadable.
+func (w *writer) appendJobRecords(ctx context.Context, id string, l []stream.KeyedRecord) error {
 	return w.applyChange(ctx, func(*batch.ResultEncoder) ([]stream.KeyedRecord, error) {
-		if w.partition.replica.HasJob(s.ID()) {
+		if w.partition.replica.HasJob(id) {
 			return nil, nil
 		}
 
-		return rest, nil
+		return l, nil
 	})
 }
 
