batches: drop expired jobs as a change

An append executed late would drop a job that was submitted again with the identifier of an expired one. Also, records beyond one append were never dropped, as the replica forgets a job with the first of its records.

Change: the removal is a change of the writer, with a condition, and takes as many whole jobs as fit into one append. LogLimits.WithExpiryInterval sets the interval of the searches.

--- a/batch/append.go
+++ b/batch/append.go
@@ -310,46 +310,55 @@
 	return []stream.KeyedRecord{k}, err
 }
 
-// EncodeExpiry returns records that drop the expired jobs: those that are finished or past their deadline and were
-// accepted at least retention ago. Callers may no longer read the results of such jobs.
-func (r *Replica) EncodeExpiry(now time.Time, retention time.Duration) []stream.KeyedRecord {
+// EncodeExpiry returns, for each expired job, the records that drop it. Expired are the jobs that are finished or past
+// their deadline and were accepted at least retention ago; callers may no longer read their results.
+func (r *Replica) EncodeExpiry(now time.Time, retention time.Duration) [][]stream.KeyedRecord {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	var l []stream.KeyedRecord
+	var l [][]stream.KeyedRecord
 
-	for id, j := range r.jobs {
+	for _, j := range r.jobs {
 		v := j.view()
 		if !v.IsFinished() && now.Before(v.Deadline()) || now.Sub(v.acceptedAt) < retention {
 			continue
 		}
 
-		l = append(l, stream.NewKeyedRecord(0, recordKey(jobPrefix, id), nil), stream.NewKeyedRecord(0, recordKey(endPrefix, id), nil))
+		l = append(l, j.tombstones())
+	}
 
-		for n := range j.record.Chunks {
-			l = append(l, stream.NewKeyedRecord(0, recordKey(chunkPrefix, id, itoa(n)), nil))
-		}
+	return l
+}
 
-		for n := range j.results {
-			l = append(l, stream.NewKeyedRecord(0, recordKey(resultPrefix, id, itoa(n)), nil))
-		}
+// tombstones returns records that drop all records of a job.
+func (j *job) tombstones() []stream.KeyedRecord {
+	l := []stream.KeyedRecord{
+		stream.NewKeyedRecord(0, recordKey(jobPrefix, j.id), nil), stream.NewKeyedRecord(0, recordKey(endPrefix, j.id), nil),
+	}
 
-		for n, parts := range j.textPartCounts {
-			for i := range parts {
-				l = append(l, stream.NewKeyedRecord(0, recordKey(textPrefix, id, itoa(n), itoa(i)), nil))
-			}
-		}
+	for n := range j.record.Chunks {
+		l = append(l, stream.NewKeyedRecord(0, recordKey(chunkPrefix, j.id, itoa(n)), nil))
+	}
 
-		for item, s := range j.progress {
-			for _, n := range s.keyNumbers {
-				l = append(l, stream.NewKeyedRecord(0, recordKey(progressPrefix, id, item, itoa(n)), nil))
-			}
+	for n := range j.results {
+		l = append(l, stream.NewKeyedRecord(0, recordKey(resultPrefix, j.id, itoa(n)), nil))
+	}
+
+	for n, parts := range j.textPartCounts {
+		for i := range parts {
+			l = append(l, stream.NewKeyedRecord(0, recordKey(textPrefix, j.id, itoa(n), itoa(i)), nil))
 		}
+	}
 
-		for item := range j.failedAttempts {
-			l = append(l, stream.NewKeyedRecord(0, recordKey(failurePrefix, id, item), nil))
+	for item, s := range j.progress {
+		for _, n := range s.keyNumbers {
+			l = append(l, stream.NewKeyedRecord(0, recordKey(progressPrefix, j.id, item, itoa(n)), nil))
 		}
 	}
 
+	for item := range j.failedAttempts {
+		l = append(l, stream.NewKeyedRecord(0, recordKey(failurePrefix, j.id, item), nil))
+	}
+
 	return l
 }
--- a/batch/replica_test.go
+++ b/batch/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -125,7 +126,7 @@
 		So(l.replica.EncodeExpiry(time.Unix(1010, 0), time.Minute), ShouldBeEmpty)
 
 		dropped := map[string]bool{}
-		for _, k := range l.replica.EncodeExpiry(time.Unix(1100, 0), time.Minute) {
+		for _, k := range slices.Concat(l.replica.EncodeExpiry(time.Unix(1100, 0), time.Minute)...) {
 			So(k.Value(), ShouldBeEmpty)
 			dropped[k.Key()] = true
 		}
@@ -139,7 +140,7 @@
 			So(len(k.Value()) == 0 || dropped[k.Key()], ShouldBeTrue)
 		}
 
-		l.appendRecords(l.replica.EncodeExpiry(time.Unix(1100, 0), time.Minute), nil)
+		l.appendRecords(slices.Concat(l.replica.EncodeExpiry(time.Unix(1100, 0), time.Minute)...), nil)
 		So(l.replica.HasJob("j"), ShouldBeFalse)
 	})
 }
--- a/batches/batches.go
+++ b/batches/batches.go
@@ -23,7 +23,7 @@
 // LogLimits are the limits of the keyed stream of jobs.
 type LogLimits struct {
 	partitions, maxRecordBytes, maxAppendBytes int
-	jobRetention                               time.Duration
+	jobRetention, expiryInterval               time.Duration
 }
 
 // NewLogLimits returns limits with the number of partitions, the sizes of the largest record and the largest append in
@@ -32,6 +32,14 @@
 	return LogLimits{partitions: partitions, maxRecordBytes: maxRecordBytes, maxAppendBytes: maxAppendBytes, jobRetention: jobRetention}
 }
 
+// WithExpiryInterval returns a copy with the shortest time between two searches for expired jobs in a partition; 0 means
+// the default of 20 s.
+func (s LogLimits) WithExpiryInterval(d time.Duration) LogLimits {
+	s.expiryInterval = d
+
+	return s
+}
+
 // Partitions returns the number of partitions.
 func (s LogLimits) Partitions() int { return s.partitions }
 
--- a/batches/fake_test.go
+++ b/batches/fake_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/agategap/agategap/batches"
 	"github.com/agategap/agategap/stream"
 )
 
@@ -145,6 +146,14 @@
 	}
 }
 
+// newestRecords returns the number of keys that have a record.
+func (m *memoryLog) newestRecords() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return len(m.partition(batches.Stream+" newest", 0).records)
+}
+
 func (m *memoryLog) Tail(ctx context.Context, name string, n int, from int64, wait time.Duration) (stream.KeyedPage, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/batches/late_append_test.go
+++ b/batches/late_append_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/agategap/agategap/batch"
+	"github.com/agategap/agategap/batches"
 	"github.com/agategap/agategap/stream"
 )
 
@@ -192,3 +195,54 @@
 		So(v, ShouldEqual, w)
 	})
 }
+
+// Guards against an accepted job that is lost as the removal of an earlier job with its identifier is executed late, and
+// against expired jobs of which some records stay in the log.
+func TestLateExpiryOfResubmittedJob(t *testing.T) {
+	Convey("When expired jobs are dropped by an append that is executed late, a job submitted since then stays known", t, func() {
+		l := &lateLog{memoryLog: newMemoryLog()}
+		s := batches.NewLogLimits(1, 16<<10, 64<<10, 500*time.Millisecond).WithExpiryInterval(50 * time.Millisecond)
+
+		a := startDaemonWithLimits(l, s, 0)
+		defer a.shutDown()
+
+		ctx, stop := newTestContext()
+		defer stop()
+
+		// Three jobs whose removal takes more than one append.
+		id := strings.Repeat("j", 60)
+
+		for n := range 3 {
+			j := newJob(fmt.Sprint(id, n), 200)
+			So(a.Submit(ctx, j), ShouldBeNil)
+
+			for _, i := range j.Items() {
+				_ = a.RecordFailure(ctx, j.ID(), i.ID(), 1)
+			}
+
+			So(a.End(ctx, j.ID()), ShouldBeNil)
+		}
+
+		// The first removal is late, a later one is not.
+		var late atomic.Int32
+
+		l.mu.Lock()
+		l.isLate = func() bool { return late.Add(1) == 1 }
+		l.mu.Unlock()
+
+		for ctx.Err() == nil {
+			if jobs, _ := a.Count(); jobs == 0 {
+				break
+			}
+
+			time.Sleep(time.Millisecond)
+		}
+
+		So(l.newestRecords(), ShouldEqual, 0)
+		So(a.Submit(ctx, newJob(id+"0", 3)), ShouldBeNil)
+		l.executeHeld(rand.New(rand.NewPCG(1, 1)))
+
+		_, err := describeJob(a, id+"0", 3)
+		So(err, ShouldBeNil)
+	})
+}
--- a/batches/property_test.go
+++ b/batches/property_test.go
@@ -52,10 +52,12 @@
 
 func startDaemon(l *memoryLog, n int) *daemon { return startDaemonOn(l, n) }
 
-func startDaemonOn(l keyed.Log, n int) *daemon {
+func startDaemonOn(l keyed.Log, n int) *daemon { return startDaemonWithLimits(l, limits, n) }
+
+func startDaemonWithLimits(l keyed.Log, s batches.LogLimits, n int) *daemon {
 	ctx, stop := context.WithCancel(context.Background())
 	d := &daemon{
-		Batches: batches.New(l, limits, batch.NewRunner(fmt.Sprint("vm", n), 1), time.Now, zerolog.Nop()), stop: stop,
+		Batches: batches.New(l, s, batch.NewRunner(fmt.Sprint("vm", n), 1), time.Now, zerolog.Nop()), stop: stop,
 	}
 
 	d.wg.Go(func() { _ = batches.NewAssigner(d.Batches, nil, nil, nil, zerolog.Nop()).Run(ctx) })
--- a/batches/writer.go
+++ b/batches/writer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -430,35 +429,3 @@
 
 	return rest
 }
-
-const (
-	// expiryInterval is the shortest time between two searches for expired jobs; a random part of up to as much is
-	// added. Daemons thus search at different times, so that most of them find nothing left to drop.
-	expiryInterval = 20 * time.Second
-	// expiryTimeout bounds the append of one search.
-	expiryTimeout = 5 * time.Second
-)
-
-// expireJobs periodically drops the records of expired jobs, until ctx ends. It always returns nil.
-func (w *writer) expireJobs(ctx context.Context) error {
-	for {
-		select {
-		case <-time.After(expiryInterval + rand.N(expiryInterval)): //nolint:gosec // spreads the searches of daemons
-		case <-ctx.Done():
-			return nil
-		}
-
-		l := w.partition.replica.EncodeExpiry(time.Now(), w.limits.jobRetention)
-		if len(l) == 0 || !w.partition.consumer.IsLoaded() {
-			continue
-		}
-
-		x, stop := context.WithTimeout(ctx, expiryTimeout)
-		_, err := w.log.Append(x, Stream, w.number, l[:w.fittingRecords(l)], stream.AnyOffset)
-
-		stop()
-
-		w.logger.Info().Str("event", "jobs_expired").Int("part", w.number).Int("records", len(l)).Err(err).
-			Msg("attempted to drop the records of expired jobs")
-	}
-}
