mesh: announce a daemon again if a late record replaces its own

A record of an earlier incarnation or a removal that the log executed late stayed the newest one for up to three minutes, so that daemons that started meanwhile read the wrong record or none.

Change: a daemon that reads such a record after its own announcement announces itself again at once. A condition on these appends would make hundreds of daemons that start together compete for one partition.

Evidence: TestLateRecordsOfDaemons (property) failed before (the log does not have the record of the daemon within 5 s) and passes now.

--- a/mesh/members.go
+++ b/mesh/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -35,12 +36,18 @@
 	clock    func() time.Time
 	logger   zerolog.Logger
 	registry Registry
+
+	mu        sync.Mutex
+	announced int64         // offset after the last record of this daemon that the log confirmed; 0 for none
+	replaced  chan struct{} // holds a value if that record was replaced or removed
 }
 
 // NewMembers returns a controller of the records in a log stream. self is the record of this daemon. addPeer is called
 // with the daemon of each record that is read.
 func NewMembers(l Log, stream string, self Record, addPeer func(p Peer), clock func() time.Time, z zerolog.Logger) *Members {
-	return &Members{log: l, stream: stream, self: self, addPeer: addPeer, clock: clock, logger: z}
+	return &Members{
+		log: l, stream: stream, self: self, addPeer: addPeer, clock: clock, logger: z, replaced: make(chan struct{}, 1),
+	}
 }
 
 // Records returns the records of all daemons that have not expired, sorted by VM.
@@ -50,7 +57,7 @@
 func (m *Members) SetLogDown(down bool, now time.Time) { m.registry.SetLogDown(down, now) }
 
 // Reset replaces all records by the given ones.
-func (m *Members) Reset(l []stream.KeyedRecord, _ int64) {
+func (m *Members) Reset(l []stream.KeyedRecord, end int64) {
 	isListed := map[string]bool{}
 
 	for _, k := range l {
@@ -64,6 +71,10 @@
 			m.registry.Remove(v.Peer.VM)
 		}
 	}
+
+	if !isListed[m.self.Peer.VM] {
+		m.noteReplaced(end - 1)
+	}
 }
 
 // Apply adds or replaces the record of the daemon that the key names; an empty value removes it. A malformed record is
@@ -76,6 +87,10 @@
 	if len(k.Value()) == 0 {
 		m.registry.Remove(k.Key())
 
+		if k.Key() == m.self.Peer.VM {
+			m.noteReplaced(k.Offset())
+		}
+
 		return
 	}
 
@@ -88,6 +103,34 @@
 
 	m.registry.Put(v, m.clock())
 	m.addPeer(v.Peer)
+
+	if v.Peer.VM == m.self.Peer.VM && v.Peer.Start < m.self.Peer.Start {
+		m.noteReplaced(k.Offset())
+	}
+}
+
+// noteReplaced makes Run announce this daemon again at once if the record at an offset, which is of an earlier incarnation
+// or a removal, follows the announcement of this incarnation. The log may execute such an append late, and daemons that
+// start afterwards would not find this one.
+func (m *Members) noteReplaced(offset int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	if m.announced == 0 || offset < m.announced {
+		return
+	}
+
+	select {
+	case m.replaced <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Members) setAnnounced(offset int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	m.announced = offset + 1
 }
 
 // Run announces this daemon in the log until ctx ends, and removes expired records after each announcement.
@@ -103,6 +146,7 @@
 		wait := announceRetryDelay
 
 		if o, err := m.appendRecords(ctx, self); err == nil {
+			m.setAnnounced(o)
 			m.logger.Info().Str("event", "announced").Int64("offset", o).Msg("the log has the record of this daemon")
 			m.RemoveExpired(ctx)
 
@@ -111,6 +155,7 @@
 
 		select {
 		case <-time.After(wait):
+		case <-m.replaced:
 		case <-ctx.Done():
 		}
 	}
--- a/mesh/members_test.go
+++ b/mesh/members_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
 
 	"github.com/agategap/agategap/mesh"
 	"github.com/agategap/agategap/stream"
+	"github.com/agategap/agategap/wire"
 )
 
 // fakeLog is a log in memory that refuses the first few appends.
@@ -127,3 +131,85 @@
 		})
 	})
 }
+
+// Guards against a daemon that daemons which start later do not find, as a record of its earlier incarnation or a removal
+// was executed by the log after the record of this incarnation.
+func TestLateRecordsOfDaemons(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := &fakeLog{}
+		m := mesh.NewMembers(l, "members", mesh.Record{Peer: peer("a", 2)}, func(mesh.Peer) {}, func() time.Time { return at(0) }, zerolog.Nop())
+
+		earlier, err := wire.Marshal(mesh.Record{Peer: peer("a", 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+		done := make(chan struct{})
+
+		go func() {
+			defer close(done)
+
+			_ = m.Run(ctx)
+		}()
+
+		defer func() { stop(); <-done }()
+
+		applied := 0
+		// follow applies the records of the log until the newest one of the daemon is of its present incarnation.
+		follow := func() bool {
+			for ctx.Err() == nil {
+				records := l.appended()
+				for _, k := range records[applied:] {
+					m.Apply(k)
+				}
+
+				applied = len(records)
+				if applied > 0 {
+					var v mesh.Record
+
+					k := records[applied-1]
+					if len(k.Value()) > 0 && wire.Unmarshal(k.Value(), &v) == nil && v.Peer.Start == 2 {
+						return true
+					}
+				}
+
+				time.Sleep(time.Millisecond)
+			}
+
+			return false
+		}
+
+		for n, removal := range rapid.SliceOfN(rapid.Bool(), 0, 4).Draw(t, "late_removals") {
+			if !follow() {
+				t.Fatalf("before late record %d: the log does not have the record of the daemon", n)
+			}
+
+			value := earlier
+			if removal {
+				value = nil
+			}
+
+			_, _ = l.Append(ctx, "members", 0, []stream.KeyedRecord{stream.NewKeyedRecord(0, "a", value)}, stream.AnyOffset)
+
+			if rapid.Bool().Draw(t, "load") {
+				m.Reset(newestRecords(l.appended()), int64(len(l.appended())))
+				applied = len(l.appended())
+			}
+		}
+
+		if !follow() {
+			t.Fatal("the log does not have the record of the daemon")
+		}
+	})
+}
+
+// newestRecords returns the newest record of each key that has one.
+func newestRecords(l []stream.KeyedRecord) []stream.KeyedRecord {
+	m := map[string]stream.KeyedRecord{}
+	for _, k := range l {
+		m[k.Key()] = k
+	}
+
+	return slices.DeleteFunc(slices.Collect(maps.Values(m)), func(k stream.KeyedRecord) bool { return len(k.Value()) == 0 })
+}
