batches: divide the places for active items among services

Cause: one bound for all active items of a daemon, which items hold while they wait for a slot, for up to 30 s, or for the log to take their result.

Change: internal/batch/places gives each service that uses or requests places an equal share. Items whose last attempt received no event may use half of the share of their service, and rejected items are retried after an exponential delay instead of at once. A result that waits for the log holds no place; a partition with 48 such results starts no more items.

Why it works: what a service holds is bounded by its own share, so the share of others does not depend on when it releases its places.

Evidence: TestItemsThatCannotRunLeavePlacesToOthers (property) failed before for items of a lost service and for a partition that refuses appends, and passes now; it passed before for items that all workers reject.

--- a/batches/item.go
+++ b/batches/item.go
@@ -9,6 +9,7 @@
 
 	"github.com/agategap/agategap/batch"
 	"github.com/agategap/agategap/filter"
+	"github.com/agategap/agategap/internal/batch/places"
 )
 
 // runningItem is the state of an item on the daemon that runs its job, over all attempts of the item there. Runner.mu
@@ -22,6 +23,10 @@
 	finished  bool               // there is a result, which may not be published yet
 	failed    bool               // the result is that the item failed
 	reason    string             // of the failure
+	place     places.Place       // while an attempt is in progress
+
+	startedAfter int  // last event before the current attempt
+	unproductive bool // the last attempt received no event
 
 	mu             sync.Mutex
 	text           []byte     // data of the events so far, separated by line feeds
--- a/batches/runner.go
+++ b/batches/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -10,6 +9,7 @@
 
 	"github.com/agategap/agategap/batch"
 	"github.com/agategap/agategap/filter"
+	"github.com/agategap/agategap/internal/batch/places"
 	"github.com/agategap/agategap/mesh"
 	"github.com/agategap/agategap/outcome"
 	"github.com/agategap/agategap/routing"
@@ -47,9 +47,12 @@
 	unfollowGracePeriod = 3 * time.Second
 	// minReconcileInterval is the shortest time between two passes. Partitions change many times a second.
 	minReconcileInterval = 10 * time.Millisecond
-	// maxActiveItems bounds the items that are active on one daemon: that run, wait for a slot or are being published.
-	// The slot owner orders the waiting ones.
+	// maxActiveItems bounds the items of one service that run or wait for a slot on one daemon; several services share
+	// the places. The slot owner orders the waiting items.
 	maxActiveItems = 48
+	// maxUnpublishedResults bounds the results of one partition that wait for the log. No items of the partition are
+	// started beyond it.
+	maxUnpublishedResults = 48
 	// minItemRetryDelay and maxItemRetryDelay bound the delay before the next attempt of an item after its target
 	// failed.
 	minItemRetryDelay = 20 * time.Millisecond
@@ -80,9 +83,11 @@
 	runCtx        context.Context         //nolint:containedctx // of Run, for publishing results of adopted jobs
 	adoptedJobs   map[string]bool         // jobs that a leaving daemon handed over to this one
 	unroutedSince map[string]time.Time    // by job, when its route was first found missing
+	unpublished   map[int]int             // number of results that wait for the log, by partition
 	leaving       bool
 	wg            sync.WaitGroup
 	runTime       runTimeEstimator
+	places        *places.Places // of the items that run or wait for a slot
 }
 
 // NewRunner returns a runner of the jobs of b. h is the filter chain that handles the requests of items.
@@ -90,6 +95,7 @@
 	return &Runner{
 		batches: b, chain: h, routes: t, peers: p, client: c, clock: clock, logger: z,
 		items: map[string]*runningItem{}, runCtx: context.Background(), adoptedJobs: map[string]bool{}, unroutedSince: map[string]time.Time{},
+		unpublished: map[int]int{}, places: places.New(maxActiveItems),
 		promptParts: func(map[string][]string) []string { return nil },
 	}
 }
@@ -252,7 +258,7 @@
 	r.mu.Unlock()
 
 	for _, i := range v.OpenItems() {
-		r.startItem(ctx, v, i, now)
+		r.startItem(ctx, v, i, route.ServiceFor(i.ID()), now)
 	}
 }
 
@@ -270,67 +276,22 @@
 	}
 
 	for _, i := range v.OpenItems() {
-		if u := r.activate(v, i, now); u != nil {
-			r.wg.Go(func() {
-				r.publishResult(ctx, u, batch.NewResult(i.ID(), "", false), "the route of the job is gone")
-			})
-		}
+		r.failItem(ctx, v, i, "the route of the job is gone", now)
 	}
 }
 
-// activate marks an item as active and returns it. It returns nil if the item is active already, has a published result
-// or is to be retried later, if maxActiveItems are active, or if this daemon is leaving.
-func (r *Runner) activate(v batch.View, i batch.Item, now time.Time) *runningItem {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-
-	k := v.ID() + "/" + i.ID()
-
-	u, ok := r.items[k]
-	if !ok {
-		u = &runningItem{jobID: v.ID(), item: i, cancel: func() {}, failedAttempts: v.FailedAttempts(i.ID()), runID: rand.Uint64()}
-		r.items[k] = u
-	}
-
-	if !u.active {
-		u.resumeFrom(v.Progress(i.ID()))
-	}
-
-	if u.active || u.published || now.Before(u.retryAt) || r.leaving {
-		return nil
-	}
-
-	n := 0
-
-	for _, o := range r.items {
-		if o.active {
-			n++
-		}
-	}
-
-	if n >= maxActiveItems {
-		return nil
-	}
-
-	u.active = true
-
-	return u
-}
+// startItem starts an attempt of an item at a service, or fails the item if the deadline of its job has passed. A deadline
+// that is not after the due time does not count.
+func (r *Runner) startItem(ctx context.Context, v batch.View, i batch.Item, service string, now time.Time) {
+	deadline := v.Deadline().Add(deadlineMargin)
+	if v.Deadline().After(v.Due()) && now.After(deadline) {
+		r.failItem(ctx, v, i, "the time of the job is over", now)
 
-// startItem starts an attempt of an item, or fails the item if the deadline of its job has passed. A deadline that is
-// not after the due time does not count.
-func (r *Runner) startItem(ctx context.Context, v batch.View, i batch.Item, now time.Time) {
-	u := r.activate(v, i, now)
-	if u == nil {
 		return
 	}
 
-	deadline := v.Deadline().Add(deadlineMargin)
-	if v.Deadline().After(v.Due()) && now.After(deadline) {
-		r.wg.Go(func() {
-			r.publishResult(ctx, u, batch.NewResult(i.ID(), "", false), "the time of the job is over")
-		})
-
+	u := r.activate(v, i, service, now)
+	if u == nil {
 		return
 	}
 
@@ -376,7 +337,7 @@
 		r.publishResult(ctx, u, batch.NewResult(u.item.ID(), "", false), "the target cannot do the item")
 	case err == nil:
 		r.handleFailedAttempt(ctx, u, route)
-	case filter.IsPreempted(err), outcome.Is(err, outcome.Overloaded):
+	case filter.IsPreempted(err):
 		r.retryLater(u, 0)
 	case outcome.Is(err, outcome.Quarantined):
 		r.retryLater(u, quarantineRetryDelay)
@@ -404,6 +365,12 @@
 	defer r.mu.Unlock()
 
 	u.active = false
+	u.place.Release()
+
+	u.mu.Lock()
+	u.unproductive = u.lastEvent <= u.startedAfter
+	u.mu.Unlock()
+
 	u.retryDelay = delay
 	u.retryAt = r.clock().Add(delay)
 }
@@ -445,6 +412,10 @@
 	r.mu.Lock()
 	u.finished, u.reason = true, reason
 	u.failed = !v.IsCompleted()
+	u.place.Release()
+
+	partition := r.batches.Partition(u.jobID)
+	r.unpublished[partition]++
 	r.mu.Unlock()
 
 	for ctx.Err() == nil {
@@ -463,6 +434,7 @@
 	defer r.mu.Unlock()
 
 	u.active, u.published = false, true
+	r.unpublished[partition]--
 }
 
 // ActiveItems returns the number of items that run, wait for a slot or whose result is being published.
