batches: count only status 500 as a failed attempt of an item

A status other than 200 and 422 counted as a failed attempt, so that three responses with status 503 or 404 of a faulty worker, or of something else at its address, gave an item up. The platform counts only status 500.

Evidence: TestOnlyStatus500CountsAsFailedAttempt failed before for status 204, 404, 503 and 504 and passes now.

--- a/batches/runner.go
+++ b/batches/runner.go
@@ -335,7 +335,7 @@
 		r.publishResult(ctx, u, batch.NewResult(u.item.ID(), string(u.text), true), "")
 	case err == nil && s.status == statusImpossible:
 		r.publishResult(ctx, u, batch.NewResult(u.item.ID(), "", false), "the target cannot do the item")
-	case err == nil:
+	case err == nil && s.status == statusFailed:
 		r.handleFailedAttempt(ctx, u, route)
 	case filter.IsPreempted(err):
 		r.retryLater(u, 0)
@@ -357,6 +357,7 @@
 	post             = "POST"
 	statusOK         = 200
 	statusImpossible = 422 // the item can never be completed
+	statusFailed     = 500 // the attempt of the item failed
 )
 
 // retryLater ends an attempt without a result. The next attempt starts after delay at the earliest.
