filter: reject requests that a shutdown would cut off

Report of other operators: in a planned stop, requests that came late in the grace period were taken, passed on and cut without a response at its end. It can happen here during the handover, up to a quarter of the grace period: a request was admitted whatever its deadline. Requests that were in flight at the end, or waited for a slot, were cut off without a response as well.

Change: after the time for the load balancer to notice, the filter RejectLate admits a request only if its deadline is before the end of the shutdown, and otherwise rejects it with NotRun, so that the caller can go to another daemon at once. 250 ms before the end, requests in flight are cancelled: those that wait for a slot are rejected, those whose response has not started fail.

Requests that arrive after the listener is closed are closed unread, as before.

--- a/controller/drain.go
+++ b/controller/drain.go
@@ -10,10 +10,10 @@
 	"github.com/agategap/agategap/drain"
 )
 
-// Acceptor accepts requests. Close stops accepting and returns when the requests in flight are finished. When ctx ends
-// first, it aborts them.
+// Acceptor accepts requests. Close stops accepting and returns when the requests in flight are finished. It cancels those
+// that are still in flight at cancelAt, so that they get a response, and cuts off those that are left when ctx ends.
 type Acceptor interface {
-	Close(ctx context.Context) error
+	Close(ctx context.Context, cancelAt time.Time) error
 }
 
 // Handover hands a part of the daemon's work over to other daemons. It is not waited for after ctx has ended.
@@ -58,6 +58,9 @@
 // Phase returns the phase of the shutdown; drain.Serving before Run.
 func (d *Drain) Phase() drain.Phase { return d.shutdown.Phase() }
 
+// Admits reports whether a request that has to end by deadline may start.
+func (d *Drain) Admits(deadline time.Time) bool { return d.shutdown.Admits(deadline) }
+
 // Run shuts the daemon down and returns when the process may exit. The error is that of the acceptor; failed handovers
 // are only logged. It must be called only once.
 func (d *Drain) Run() error {
@@ -82,7 +85,7 @@
 	x, stop := context.WithDeadline(context.Background(), end)
 	defer stop()
 
-	err := d.acceptor.Close(x)
+	err := d.acceptor.Close(x, d.shutdown.LastRequestEnd())
 	d.shutdown.Advance(time.Now(), true, true)
 
 	return err
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -23,7 +23,7 @@
 }
 
 // Close stops accepting connections and waits for the requests in flight. When ctx ends first, it cuts them off.
-func (c callerServer) Close(ctx context.Context) error {
+func (c callerServer) Close(ctx context.Context, _ time.Time) error {
 	if err := c.server.Shutdown(ctx); err != nil {
 		c.daemon.logger.Warn().Err(err).Msg("shutdown timed out, cutting off the requests in flight")
 
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -126,7 +126,7 @@
 		WithPromptParts(platform.PromptParts)
 	gateway := batches.NewGateway(d.batches, followers, table, peerClient{client: d.client}, d.logger)
 
-	front := platform.NewFrontend(filter.RoutedChain(&d.routes.Current, holder, time.Now, w, workers), &d.routes, gateway, time.Now)
+	front := platform.NewFrontend(filter.RoutedChain(&d.routes.Current, shutdownOf{d}, holder, time.Now, w, workers), &d.routes, gateway, time.Now)
 
 	bootstrapper := bootstrap.New(table, d.client, &d.routes, &d.targets, d.logger)
 
@@ -236,7 +236,11 @@
 
 		h.ServeHTTP(w, r)
 	})
-	d.drain = controller.NewDrain(d.settings.DrainWait.Value(), d.settings.DrainMost.Value()-shutdownMargin, routedCallerServer{server: s, logger: d.logger}, d.logger)
+	requests, cancelRequests := context.WithCancel(context.Background())
+	s.BaseContext = func(net.Listener) context.Context { return requests }
+	d.drain = controller.NewDrain(
+		d.settings.DrainWait.Value(), d.settings.DrainMost.Value()-shutdownMargin,
+		routedCallerServer{server: s, cancelRequests: cancelRequests, logger: d.logger}, d.logger)
 	d.drain.AddHandover("jobs", func(ctx context.Context) error {
 		err := d.runner.HandOver(ctx)
 		d.mesh.Table().Leave()
@@ -280,16 +284,35 @@
 	}, func(error) { _ = s.Close() })
 }
 
+// shutdownOf is the shutdown of a daemon whose controller is built after the filter chain.
+type shutdownOf struct{ daemon *RoutedDaemon }
+
+// Admits reports whether a request that has to end by deadline may start.
+func (s shutdownOf) Admits(deadline time.Time) bool { return s.daemon.drain.Admits(deadline) }
+
 // routedCallerServer closes the HTTP server for callers at shutdown.
 type routedCallerServer struct {
-	server *http.Server
-	logger zerolog.Logger
+	server         *http.Server
+	cancelRequests context.CancelFunc
+	logger         zerolog.Logger
 }
 
-// Close stops accepting connections and waits for the requests in flight. When ctx ends first, it cuts them off.
-func (a routedCallerServer) Close(ctx context.Context) error {
+// Close stops accepting connections and waits for the requests in flight. At cancelAt, it cancels those that are left:
+// one that waits for a slot is rejected, and one whose response has not started fails. When ctx ends, it cuts off the
+// rest.
+func (a routedCallerServer) Close(ctx context.Context, cancelAt time.Time) error {
+	x, stop := context.WithDeadline(ctx, cancelAt)
+	defer stop()
+
+	if a.server.Shutdown(x) == nil {
+		return nil
+	}
+
+	a.logger.Warn().Str("event", "requests_cut").Msg("shutdown timed out, cancelling the requests in flight")
+	a.cancelRequests()
+
 	if err := a.server.Shutdown(ctx); err != nil {
-		a.logger.Warn().Err(err).Str("event", "requests_cut").Msg("shutdown timed out, cutting off the requests in flight")
+		a.logger.Warn().Err(err).Str("event", "requests_cut").Msg("shutdown timed out, closing the connections of requests in flight")
 
 		return a.server.Close()
 	}
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -84,6 +84,31 @@
 	return s.phase, s.phaseDeadline()
 }
 
+// responseTime is the time at the end of a shutdown for the responses to requests that are still in flight.
+const responseTime = 250 * time.Millisecond
+
+// Admits reports whether a request that has to end by deadline may start. Once the load balancer had time to notice the
+// shutdown, only requests that end before it are admitted, as they would be cut off otherwise.
+func (s *Shutdown) Admits(deadline time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.phase <= Waiting || !deadline.After(s.lastRequestEnd())
+}
+
+// LastRequestEnd returns the time at which requests that are still in flight are cancelled, so that they get a response
+// before the end of the shutdown. It has no meaning before the shutdown has started.
+func (s *Shutdown) LastRequestEnd() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.lastRequestEnd()
+}
+
+func (s *Shutdown) lastRequestEnd() time.Time {
+	return s.startedAt.Add(s.timeout - min(responseTime, s.timeout/2)) //nolint:mnd // half of a short shutdown
+}
+
 func (s *Shutdown) isPhaseOver(now time.Time, handedOver, finished bool) bool {
 	switch s.phase {
 	case Serving, Done:
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -62,3 +62,41 @@
 	// finishing
 	// done
 }
+
+// Guards against a request that is admitted late in a shutdown and cut off at its end, against one that is rejected
+// although the load balancer had no time to notice the shutdown, and against a shutdown without time for responses.
+func TestAdmittedRequestsEndWithinShutdown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ms := func(name string, most int) time.Duration {
+			return time.Duration(rapid.IntRange(1, most).Draw(t, name)) * time.Millisecond
+		}
+
+		timeout, notReadyDelay, start := ms("timeout", 60_000), ms("delay", 60_000), time.Unix(1_700_000_000, 0)
+		s := drain.New(notReadyDelay, timeout)
+
+		if !s.Admits(start.Add(time.Hour)) {
+			t.Fatal("a request was rejected before the shutdown")
+		}
+
+		s.Start(start)
+
+		for range 20 {
+			now := start.Add(ms("after", 70_000))
+			deadline := now.Add(ms("time_limit", 60_000))
+			p, _ := s.Advance(now, rapid.Bool().Draw(t, "handed_over"), false)
+
+			switch admitted := s.Admits(deadline); {
+			case p == drain.Waiting && !admitted:
+				t.Fatal("a request was rejected before the load balancer had time to notice the shutdown")
+			case p > drain.Waiting && admitted && deadline.After(s.LastRequestEnd()):
+				t.Fatalf("in phase %s, a request was admitted that may end after its cancellation", p)
+			case p > drain.Waiting && !admitted && !deadline.After(s.LastRequestEnd()):
+				t.Fatalf("in phase %s, a request was rejected that ends in time", p)
+			}
+		}
+
+		if d := start.Add(timeout).Sub(s.LastRequestEnd()); d <= 0 || d > time.Second {
+			t.Fatalf("%s for the responses to cancelled requests", d)
+		}
+	})
+}
--- a/filter/order.go
+++ b/filter/order.go
@@ -58,9 +58,14 @@
 }
 
 // RoutedChain returns the chain for requests that are passed on as their caller sent them, to the service of the route
-// that matches their host and path. These requests carry no credential, and nothing about them is recorded.
-func RoutedChain(t Routes, r Router, clock func() time.Time, w Watcher, last Handler) *Chain {
-	return New(last, NewMatch(t), NewRelay(r, clock, w))
+// that matches their host and path. These requests carry no credential, and nothing about them is recorded. d may be nil
+// for a daemon that is never shut down.
+func RoutedChain(t Routes, d Shutdown, r Router, clock func() time.Time, w Watcher, last Handler) *Chain {
+	if d == nil {
+		return New(last, NewMatch(t), NewRelay(r, clock, w))
+	}
+
+	return New(last, NewMatch(t), NewRejectLate(d), NewRelay(r, clock, w))
 }
 
 // ItemChain returns the chain for the items of batch jobs on routes. Their route is set by NewItemRequest.
--- a/filter/relay_test.go
+++ b/filter/relay_test.go
@@ -144,7 +144,7 @@
 	}
 
 	t := &scriptedTargets{attempts: list}
-	c := filter.RoutedChain(routes{routing.NewTable(1, []routing.Route{routing.New(s)}, routing.Limits{}, nil)}, p, time.Now, nil, t)
+	c := filter.RoutedChain(routes{routing.NewTable(1, []routing.Route{routing.New(s)}, routing.Limits{}, nil)}, nil, p, time.Now, nil, t)
 	a := &relayedResponse{}
 	err := c.Handle(context.Background(), filter.NewRequest(filter.Input{
 		ID: "r", Path: "/x/1", Arrived: time.Now(), Call: filter.NewCall("POST", "h", "/x/1", nil),
@@ -294,11 +294,11 @@
 	})
 
 	Convey("A request fails as not ready without a routing table, and as not found if no route matches", t, func() {
-		c := filter.RoutedChain(routes{}, &recordingRouter{}, time.Now, nil, &scriptedTargets{})
+		c := filter.RoutedChain(routes{}, nil, &recordingRouter{}, time.Now, nil, &scriptedTargets{})
 		err := c.Handle(context.Background(), filter.NewRequest(filter.Input{}), &relayedResponse{})
 		So(outcome.Is(err, outcome.NotReady), ShouldBeTrue)
 
-		c = filter.RoutedChain(routes{routing.NewTable(1, nil, routing.Limits{}, nil)}, &recordingRouter{}, time.Now, nil, &scriptedTargets{})
+		c = filter.RoutedChain(routes{routing.NewTable(1, nil, routing.Limits{}, nil)}, nil, &recordingRouter{}, time.Now, nil, &scriptedTargets{})
 		err = c.Handle(context.Background(), filter.NewRequest(filter.Input{}), &relayedResponse{})
 		So(outcome.Is(err, outcome.NotFound), ShouldBeTrue)
 	})
--- a/slots/quarantine_test.go
+++ b/slots/quarantine_test.go
@@ -38,7 +38,7 @@
 		ID: id, Path: "/o/", Arrived: time.Now(), Timeout: 5 * time.Second, Call: filter.NewCall("POST", "h", "/o/", nil), PromptParts: append(parts, id),
 	})
 
-	return filter.RoutedChain(routeTable{}, d.holder, time.Now, nil, g).Handle(context.Background(), q, filter.SinkFunc(discardEvent))
+	return filter.RoutedChain(routeTable{}, nil, d.holder, time.Now, nil, g).Handle(context.Background(), q, filter.SinkFunc(discardEvent))
 }
 
 // Guards against prompts that crash targets and are sent on because their crashes were seen by different daemons, and
--- a/slots/slots_test.go
+++ b/slots/slots_test.go
@@ -261,7 +261,7 @@
 func (d *daemon) runOnline(g *slowTarget, id string) error {
 	q := filter.NewRequest(filter.Input{ID: id, Path: "/o/", Arrived: time.Now(), Timeout: 5 * time.Second, Call: filter.NewCall("POST", "h", "/o/", nil)})
 
-	return filter.RoutedChain(routeTable{}, d.holder, time.Now, nil, g).Handle(context.Background(), q, filter.SinkFunc(discardEvent))
+	return filter.RoutedChain(routeTable{}, nil, d.holder, time.Now, nil, g).Handle(context.Background(), q, filter.SinkFunc(discardEvent))
 }
 
 func (d *daemon) runItem(ctx context.Context, g *slowTarget, id string) error {
