--- a/keyed/consumer.go
+++ b/keyed/consumer.go
@@ -29,8 +29,7 @@
 
 // Sink receives the records of a partition in order of offset.
 type Sink interface {
-	// Reset replaces the state by the newest record of each key before offset end. The records are in no order, and
-	// some may have offsets from end on; Apply gets those again.
+	// Reset replaces the state by the newest record of each key before offset end. The records are in no order.
 	Reset(l []stream.KeyedRecord, end int64)
 	// Apply applies the next record. Its key is empty if the record cannot be read, its value if the key is dropped.
 	Apply(k stream.KeyedRecord)
@@ -66,7 +65,7 @@
 	nextOffset int64
 	loaded     bool
 	syncedAt   time.Time    // latest start of a read that reached the end
-	partial    *partialLoad // pages of an interrupted load; nil for none
+	partial    *partialLoad // interrupted load; nil for none
 	down       bool
 	ready      chan struct{}
 }
@@ -274,89 +273,3 @@
 		}
 	}
 }
-
-// partialLoad holds the pages of newest records that a load has read so far.
-type partialLoad struct {
-	records   []stream.KeyedRecord
-	end       int64 // end of the partition according to the first page; negative before that page
-	lastKey   string
-	startedAt time.Time
-}
-
-// maxPartialLoadAge is the greatest age of an interrupted load that is continued. The records that were appended since
-// its first page are read once it is complete, so the log has to retain them until then. Platforms retain records for
-// at least some tens of seconds.
-const maxPartialLoadAge = 10 * time.Second
-
-// takePartialLoad returns the interrupted load, or a new one if there is none or it is too old. A load that started
-// over after each failure would never complete while the log is slow.
-func (c *Consumer) takePartialLoad() *partialLoad {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	g := c.partial
-	c.partial = nil
-
-	if g == nil || time.Since(g.startedAt) > maxPartialLoadAge {
-		g = &partialLoad{end: -1, startedAt: time.Now()}
-	}
-
-	return g
-}
-
-// keepPartialLoad keeps an interrupted load for the next attempt.
-func (c *Consumer) keepPartialLoad(g *partialLoad) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	c.partial = g
-}
-
-// load resets the sink to the newest record of each key. The pages need not be a snapshot, as records from the end
-// according to the first page on are read again afterwards.
-func (c *Consumer) load(ctx context.Context) error {
-	g := c.takePartialLoad()
-
-	for {
-		p, err := c.log.Newest(ctx, c.name, c.partition, g.lastKey)
-		if err != nil {
-			c.keepPartialLoad(g)
-
-			return err
-		}
-
-		if g.end < 0 {
-			g.end = p.End()
-		}
-
-		g.records = append(g.records, p.Records()...)
-
-		if !p.HasMore() || len(p.Records()) == 0 {
-			break
-		}
-
-		g.lastKey = p.Records()[len(p.Records())-1].Key()
-	}
-
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	if c.loaded && g.end < c.nextOffset {
-		return nil // a concurrent call has applied later records
-	}
-
-	c.sink.Reset(g.records, g.end)
-	c.nextOffset = g.end
-
-	if g.startedAt.After(c.syncedAt) {
-		c.syncedAt = g.startedAt
-	}
-
-	if !c.loaded {
-		c.loaded = true
-
-		close(c.ready)
-	}
-
-	return nil
-}
