filter: blame prompts for crashes after the first events

Cause: a crash counted only if no event had arrived, and an attempt with an event proved its prompt sound.

Change: a crash counts up to three events. A prompt is sound if its response is complete or has more events.

--- a/filter/model.go
+++ b/filter/model.go
@@ -142,9 +142,9 @@
 const (
 	// PromptUntested means that the attempt shows nothing about the prompt.
 	PromptUntested PromptOutcome = iota
-	// PromptSound means that the response has begun.
+	// PromptSound means that the response is complete or has more than MaxCrashEvents events.
 	PromptSound
-	// PromptSuspect means that the target crashed after it got the request and before the response began.
+	// PromptSuspect means that the target crashed after it got the request, before the response had more events.
 	PromptSuspect
 )
 
--- a/filter/relay.go
+++ b/filter/relay.go
@@ -248,11 +248,15 @@
 	}
 }
 
+// MaxCrashEvents is the number of events of a response up to which the crash of its target counts as caused by the
+// prompt. A target that crashes when it begins a response may have sent its first events.
+const MaxCrashEvents = 3
+
 // promptOutcome returns what an attempt with context c shows about its prompt. Attempts that this daemon ended show
-// nothing unless an event has arrived, nor do those that a target ended which still accepts connections.
+// nothing unless more than MaxCrashEvents have arrived, nor do those that a target ended which still accepts connections.
 func promptOutcome(c context.Context, events int, sent bool, err error) PromptOutcome {
 	switch {
-	case events > 0:
+	case events > MaxCrashEvents, events > 0 && err == nil:
 		return PromptSound
 	case sent && c.Err() == nil && errors.Is(err, ErrTargetCrashed):
 		return PromptSuspect
--- a/internal/serve/quarantine/controller.go
+++ b/internal/serve/quarantine/controller.go
@@ -50,7 +50,7 @@
 // CountRejection counts a request that was rejected because of a quarantined combination.
 func (c *Controller) CountRejection() { c.counter.Count("quarantine_rejections", 1) }
 
-// MarkSound records that a response to a prompt began.
+// MarkSound records that a response to a prompt got beyond its beginning.
 func (c *Controller) MarkSound(p Prompt) {
 	for _, e := range c.registry.MarkSound(p, c.clock()) {
 		c.logger.Info().Str("event", "quarantine_narrowed").Str("service", e.Service()).Strs("parts", e.Parts()).
@@ -61,7 +61,7 @@
 // Suspects returns the prompt without the shared parts that are known to be sound.
 func (c *Controller) Suspects(p Prompt) Prompt { return c.registry.Suspects(p, c.clock()) }
 
-// AddCrash records that a target crashed before the response to a prompt began. The daemon that grants the slots of the
+// AddCrash records that a target crashed when it began the response to a prompt. The daemon that grants the slots of the
 // service calls it.
 func (c *Controller) AddCrash(p Prompt, t filter.Target) {
 	c.counter.Count("suspect_crashes", 1)
--- a/internal/serve/quarantine/registry.go
+++ b/internal/serve/quarantine/registry.go
@@ -1,8 +1,8 @@
 // Package quarantine decides which prompts crash targets. Requests with such a prompt are rejected before they take a
 // slot. The package does no input or output.
 //
-// A part of a prompt is suspect if a target crashed before the response to a prompt with it began, unless a response has
-// begun on the part lately. A prompt that only ran beside the one that crashed its target is told apart by that, and by
+// A part of a prompt is suspect if a target crashed when it began the response to a prompt with it, unless a response has
+// got further on the part lately. A prompt that only ran beside the one that crashed its target is told apart by that, and by
 // the numbers of crashes and of different prompts that are needed. Parts that all these prompts have in common are
 // quarantined in combination: a prompt with only some of them is let through, and shows whether those are sound.
 package quarantine
@@ -71,7 +71,7 @@
 	combinations []*combination
 }
 
-// crash is the crash of an incarnation of a target before the response to a prompt began.
+// crash is the crash of an incarnation of a target when it began the response to a prompt.
 type crash struct {
 	prompt      Prompt // without the parts that were known to be sound
 	incarnation string
@@ -122,7 +122,7 @@
 	return s
 }
 
-// MarkSound records that a response to a prompt began. Its parts are no longer suspect, and combinations of them are
+// MarkSound records that a response to a prompt got beyond its beginning. Its parts are no longer suspect, and combinations of them are
 // released. It returns the combinations whose quarantine has ended or applies to fewer parts now.
 func (r *Registry) MarkSound(p Prompt, now time.Time) []Entry {
 	for _, id := range p.shared {
@@ -163,14 +163,14 @@
 	return l
 }
 
-// Suspects returns the prompt without the shared parts on which a response began lately.
+// Suspects returns the prompt without the shared parts on which a response got beyond its beginning lately.
 func (r *Registry) Suspects(p Prompt, now time.Time) Prompt {
 	p.shared = slices.DeleteFunc(slices.Clone(p.shared), func(id string) bool { return r.sound.has(p.service, id, now) })
 
 	return p
 }
 
-// AddCrash records that an incarnation of a target crashed before the response to a prompt began. It returns the
+// AddCrash records that an incarnation of a target crashed when it began the response to a prompt. It returns the
 // combinations of parts whose quarantine starts.
 func (r *Registry) AddCrash(p Prompt, incarnation string, now time.Time) []Entry {
 	if p.own == "" {
--- a/internal/serve/quarantine/sound.go
+++ b/internal/serve/quarantine/sound.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// soundPeriod is the time for which a part counts as sound after a response began on it.
+	// soundPeriod is the time for which a part counts as sound after a response got beyond its beginning on it.
 	soundPeriod = time.Minute
 	// soundShardCount is the number of shards of soundParts; it is higher than the number of cores of an entry VM.
 	soundShardCount = 8
@@ -18,7 +18,7 @@
 	sweepInterval = time.Second
 )
 
-// soundParts keeps the parts on which responses began lately. The zero value is empty. It is safe for concurrent use.
+// soundParts keeps the parts on which responses got beyond their beginning lately. The zero value is empty. It is safe for concurrent use.
 type soundParts struct {
 	shards [soundShardCount]soundShard
 }
--- a/slots/quarantine.go
+++ b/slots/quarantine.go
@@ -17,9 +17,9 @@
 	Admit(p quarantine.Prompt, request string) (quarantine.Entry, bool)
 	// Suspects returns the prompt without the shared parts that are known to be sound.
 	Suspects(p quarantine.Prompt) quarantine.Prompt
-	// MarkSound records that a response to a prompt began.
+	// MarkSound records that a response to a prompt got beyond its beginning.
 	MarkSound(p quarantine.Prompt)
-	// AddCrash records that a target crashed before the response to a prompt began.
+	// AddCrash records that a target crashed when it began the response to a prompt.
 	AddCrash(p quarantine.Prompt, t filter.Target)
 	// CountRejection counts a request that was rejected because of a quarantined combination.
 	CountRejection()
