--- a/filter/match.go
+++ b/filter/match.go
@@ -1,6 +1,7 @@
 package filter
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -49,19 +50,19 @@
 	return next.Handle(ctx, r, s)
 }
 
-// maxTimeout bounds every request. It alone applies if neither the caller nor the route gives a timeout.
-const maxTimeout = time.Minute
+// defaultRoutedTimeout applies if neither the caller nor the route gives a timeout.
+const defaultRoutedTimeout = time.Minute
 
-// earliestDeadline returns the time at which the shortest of maxTimeout and timeouts has passed since start. A timeout
-// of 0 is ignored.
+// earliestDeadline returns the time at which the shortest of timeouts has passed since start. A timeout of 0 is ignored;
+// if all are 0, defaultRoutedTimeout applies.
 func earliestDeadline(start time.Time, timeouts ...time.Duration) time.Time {
-	m := maxTimeout
+	m := time.Duration(0)
 
 	for _, d := range timeouts {
-		if d > 0 {
-			m = min(m, d)
+		if d > 0 && (m == 0 || d < m) {
+			m = d
 		}
 	}
 
-	return start.Add(m)
+	return start.Add(cmp.Or(m, defaultRoutedTimeout))
 }
