filter: end the wait of items for a slot when their route changes

When a batch route moved away from a service without workers, items that already waited for a slot of it went on waiting for up to 30 s, though the new service was idle (review, also seen). The route was compared only once a slot was granted.

Change: the runner tells waiting items of each new version of the routes; an item whose route leads to another service gives up its wait and starts again.

Evidence: the new case of TestItemsThatWaitForSlotsFollowTheRoutes failed before (no result within 4 s) and passes now.

--- a/batches/routes_test.go
+++ b/batches/routes_test.go
@@ -150,6 +150,15 @@
 			So(targets.sentTo(), ShouldResemble, []string{"new"})
 		})
 
+		Convey("it does not wait any longer for a slot of the old service", func() {
+			routes.set("new")
+
+			p, err := d.Results(ctx, "j", 0, maxPageBytes, 4*time.Second)
+			So(err, ShouldBeNil)
+			So(p.Results(), ShouldHaveLength, 1)
+			So(targets.sentTo(), ShouldResemble, []string{"new"})
+		})
+
 		Convey("it is not sent if the route is gone by then", func() {
 			routes.set("")
 			close(router.gate)
--- a/batches/runner.go
+++ b/batches/runner.go
@@ -84,6 +84,8 @@
 	adoptedJobs   map[string]bool         // jobs that a leaving daemon handed over to this one
 	unroutedSince map[string]time.Time    // by job, when its route was first found missing
 	unpublished   map[int]int             // number of results that wait for the log, by partition
+	routesVersion int64                   // of the last pass
+	routesChanged chan struct{}           // closed and replaced when a pass finds another version
 	leaving       bool
 	wg            sync.WaitGroup
 	runTime       runTimeEstimator
@@ -95,7 +97,7 @@
 	return &Runner{
 		batches: b, chain: h, routes: t, peers: p, client: c, clock: clock, logger: z,
 		items: map[string]*runningItem{}, runCtx: context.Background(), adoptedJobs: map[string]bool{}, unroutedSince: map[string]time.Time{},
-		unpublished: map[int]int{}, places: places.New(maxActiveItems),
+		unpublished: map[int]int{}, routesChanged: make(chan struct{}), places: places.New(maxActiveItems),
 		promptParts: func(map[string][]string) []string { return nil },
 	}
 }
@@ -177,6 +179,7 @@
 
 	now := r.clock()
 
+	r.noteRoutes(t.Version())
 	r.stopClosedItems()
 
 	for _, p := range r.batches.followedPartitions() {
@@ -192,6 +195,27 @@
 	}
 }
 
+// noteRoutes tells the items that wait for slots of a new version of the routes.
+func (r *Runner) noteRoutes(version int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if version != r.routesVersion {
+		r.routesVersion = version
+
+		close(r.routesChanged)
+		r.routesChanged = make(chan struct{})
+	}
+}
+
+// nextRoutes returns a channel that is closed after the next change of the routes.
+func (r *Runner) nextRoutes() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.routesChanged
+}
+
 // shouldRun reports whether this daemon runs a job of a partition. The daemon that accepted the job runs it while it is
 // live and follows the partition, and otherwise the first of the candidates; a daemon that adopted the job runs it in
 // any case. A daemon may not follow the partition of a job that it accepted: it may have dropped the partition while
@@ -324,7 +348,8 @@
 	k := filter.NewCall(post, v.Host(), u.item.Path(), u.item.Header()).WithLastEvent(u.lastEvent)
 	q := filter.NewItemRequest(filter.Input{
 		ID: u.item.ID(), Path: u.item.Path(), Body: u.item.Body(), Call: k, Arrived: now, PromptParts: r.promptParts(u.item.Header()),
-	}, route, v.Due(), deadline).WithRunTime(r.runTime.remaining(u.lastEvent)).WithRouteCheck(func() bool { return r.isRoutedTo(v, u.item.ID(), route) })
+	}, route, v.Due(), deadline).WithRunTime(r.runTime.remaining(u.lastEvent)).
+		WithRouteCheck(func() bool { return r.isRoutedTo(v, u.item.ID(), route) }, r.nextRoutes)
 	s := &itemSink{item: u, runTime: &r.runTime, lastEventAt: now}
 
 	err := r.chain.Handle(x, q, s)
--- a/filter/call.go
+++ b/filter/call.go
@@ -108,10 +108,11 @@
 
 // WithRouteCheck returns a copy of an item's request that is sent to a target only if isCurrent reports that the routes
 // in force still send the item to the same service. An item may wait for a slot for much longer than a version of the
-// routes stays in force.
-func (r *Request) WithRouteCheck(isCurrent func() bool) *Request {
+// routes stays in force, so the wait ends if isCurrent no longer does. changed returns a channel that is closed after the
+// next change of the routes.
+func (r *Request) WithRouteCheck(isCurrent func() bool, changed func() <-chan struct{}) *Request {
 	c := *r
-	c.isRouteCurrent = isCurrent
+	c.isRouteCurrent, c.routesChanged = isCurrent, changed
 
 	return &c
 }
--- a/filter/relay.go
+++ b/filter/relay.go
@@ -95,20 +95,13 @@
 	for {
 		x.request.setUrgency(x.relay.clock(), x.refusals+x.runs > 0, x.emitted)
 
-		t, err := x.relay.router.Acquire(ctx, x.request, x.excluded)
+		t, err := x.acquire(ctx)
 		if err != nil {
 			x.reportStep(ctx, "no_slot", "", err)
 
 			return err
 		}
 
-		if check := x.request.isRouteCurrent; check != nil && !check() {
-			t.Release(NewObservation(0, 0, 0, 0, true).WithFault(pool.Unused))
-			x.reportStep(ctx, "no_slot", "", errRouteChanged)
-
-			return errRouteChanged
-		}
-
 		x.reportStep(ctx, "sent", t.Target().Name(), nil)
 
 		err = x.runAttempt(ctx, t)
@@ -126,6 +119,42 @@
 	}
 }
 
+// acquire waits for a slot. It fails with errRouteChanged if the route of an item changes before there is one.
+func (x *relayState) acquire(ctx context.Context) (Slot, error) {
+	isCurrent := x.request.isRouteCurrent
+	if isCurrent == nil {
+		return x.relay.router.Acquire(ctx, x.request, x.excluded)
+	}
+
+	c, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+
+	go func() {
+		for changed := x.request.routesChanged(); isCurrent(); changed = x.request.routesChanged() {
+			select {
+			case <-changed:
+			case <-c.Done():
+				return
+			}
+		}
+
+		stop(errRouteChanged)
+	}()
+
+	t, err := x.relay.router.Acquire(c, x.request, x.excluded)
+
+	switch {
+	case err == nil && !isCurrent():
+		t.Release(NewObservation(0, 0, 0, 0, true).WithFault(pool.Unused))
+
+		return nil, errRouteChanged
+	case err != nil && errors.Is(context.Cause(c), errRouteChanged):
+		return nil, errRouteChanged
+	default:
+		return t, err
+	}
+}
+
 // canRetry reports whether another attempt is allowed after one that failed. It excludes the target of the failed
 // attempt from further attempts.
 func (x *relayState) canRetry(ctx context.Context, target string, err error) bool {
--- a/filter/request.go
+++ b/filter/request.go
@@ -84,6 +84,7 @@
 	daemonAge       time.Duration
 	urgency         urgency.Urgency
 	isRouteCurrent  func() bool // nil if the route that the request was matched with applies to the end
+	routesChanged   func() <-chan struct{}
 }
 
 // NewRequest returns a request of class Online.
