places: run the property tests with 25 checks by default

With 100 checks the package took 6 s, and 74 s with the race detector. Other packages with slow properties use 25; more are run by hand with -rapid.checks.

--- a/internal/batch/places/places_test.go
+++ b/internal/batch/places/places_test.go
@@ -22,6 +22,10 @@
 		_ = f.Value.Set("20261205")
 	}
 
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("25")
+	}
+
 	os.Exit(m.Run())
 }
 
