soak: workers that crash, and a part of prompts that crashes them

Change: workers crash alone, in series and half of them at once, at the same address, seen as a reset, as an end, or as silent connections; they are back cold with a new start in their registration. Requests and items have prompts with parts that their route and client share. In 60 in 100 soaks a part crashes each worker that begins a response to it, on online requests, on items, or on both. The new faults are drawn from random sources of their own. New promise 'budget'; items with the part that have no result are reported with the last line about them, and do not break 'listed'. The stand-ins of callers, store and proxy got what this needs.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -39,6 +39,8 @@
 	shutdownTimeout = 8 * time.Second
 	// registrationInterval is the time between two writes of a worker's registration.
 	registrationInterval = time.Second
+	// registrationTimeout is the time without a write after which the platform deletes a worker's registration.
+	registrationTimeout = 3 * registrationInterval
 )
 
 // daemon is one daemon of the deployment with its addresses and proxies. It runs as one process at a time. mu guards
@@ -61,8 +63,10 @@
 	worker *worker.Worker
 	proxy  *proxy.Proxy
 
-	mu    sync.Mutex
-	state string // in the worker's registration
+	mu       sync.Mutex
+	state    string    // in the worker's registration
+	born     int64     // start of the worker's process after its latest crash, in Unix milliseconds; 0 if it never crashed
+	downFrom time.Time // crash of the worker; zero while it runs
 }
 
 // deployment is the system under test: stand-ins for the store and the workers in this process, and daemons as separate
@@ -79,6 +83,9 @@
 	mu      sync.Mutex
 	version int  // of the published configuration
 	stopped bool // no daemon is started any more
+
+	prompts       promptPlan
+	onDeadlyCrash func(worker int) // called when a worker crashes under a prompt; set before there is load
 }
 
 // serve serves a stand-in on a loopback address and returns the address. close ends it.
@@ -144,7 +151,10 @@
 // addWorker starts worker i with a proxy in front of it, and registers it with the address of the proxy.
 func (w *deployment) addWorker(i int) error {
 	t := &proxiedWorker{id: fmt.Sprint("worker-", i), state: "ready"}
-	t.worker = worker.New(worker.Options{ID: t.id, Slots: workerSlots, Queue: workerQueue, Events: eventCount, Gap: eventInterval})
+	t.worker = worker.New(worker.Options{
+		ID: t.id, Slots: workerSlots, Queue: workerQueue, Events: eventCount, Gap: eventInterval, OnCrash: func() { w.onDeadlyCrash(i) },
+	})
+	t.worker.SetFaults(worker.Faults{Deadly: deadlyPart})
 
 	a, err := w.serve(t.worker.Handler())
 	if err != nil {
@@ -161,14 +171,23 @@
 	return w.writeRegistration(i)
 }
 
-// writeRegistration writes the registration of worker i to the store.
+// writeRegistration writes the registration of worker i to the store. A worker that is down writes none, and the platform
+// deletes its registration after a time.
 func (w *deployment) writeRegistration(i int) error {
 	t := w.workers[i]
 
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	return w.store.PutRegistration(t.id, store.Registration{Service: service, Address: t.proxy.Address(), Zone: domain(i), Slots: workerSlots, State: t.state})
+	if !t.downFrom.IsZero() {
+		if time.Since(t.downFrom) > registrationTimeout {
+			w.store.DeleteRegistration(t.id)
+		}
+
+		return nil
+	}
+
+	return w.store.PutRegistration(t.id, store.Registration{Service: service, Address: t.proxy.Address(), Zone: domain(i), Slots: workerSlots, State: t.state, Born: t.born})
 }
 
 // setWorkerState changes the state of worker i in its registration and writes the registration.
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -38,6 +38,13 @@
 	WorkerBreaks  FaultKind = "worker_breaks"   // responses of a worker are aborted in the middle of an event
 	WorkerLeaves  FaultKind = "worker_leaves"   // a worker registers as leaving, and as ready when the fault ends
 	Configure     FaultKind = "configure"       // the platform's operator adds a route
+	CrashReset    FaultKind = "crash_reset"     // a worker crashes, its connections are reset and new ones refused
+	CrashEnd      FaultKind = "crash_end"       // a worker crashes, its connections end and new ones are refused
+	CrashSilent   FaultKind = "crash_silent"    // a worker crashes, its connections and new ones stay open and silent
+	CrashMany     FaultKind = "crash_many"      // half of the workers crash at once
+	DeadlyOnline  FaultKind = "deadly_online"   // clients send requests with a part of a prompt that crashes workers
+	DeadlyItems   FaultKind = "deadly_items"    // some items of the jobs have a part that crashes workers
+	DeadlyCrash   FaultKind = "deadly_crash"    // a worker crashes under such a part; not drawn
 )
 
 // scope says what a kind of fault is injected into: one daemon, one worker, or something else, such as the store or
@@ -92,6 +99,15 @@
 	{Configure, systemScope, 4},
 }
 
+// crashFaultKinds are the crashes of workers. They are drawn apart from the others for the same reason as
+// peerFaultKinds.
+var crashFaultKinds = []weightedKind{
+	{CrashReset, workerScope, 3},
+	{CrashEnd, workerScope, 3},
+	{CrashSilent, workerScope, 2},
+	{CrashMany, systemScope, 1},
+}
+
 // Fault is one fault of a schedule.
 type Fault struct {
 	kind  FaultKind
@@ -119,6 +135,15 @@
 	meanFaultInterval = 900 * time.Millisecond
 	// meanPeerFaultInterval is the mean time between two draws of peerFaultKinds.
 	meanPeerFaultInterval = 2500 * time.Millisecond
+	// meanCrashFaultInterval is the mean time between two draws of crashFaultKinds.
+	meanCrashFaultInterval = 2 * time.Second
+	// deadlyRunShare is the share of soaks with prompts that crash workers.
+	deadlyRunShare = 0.6
+	// meanDeadlyInterval is the mean time before the first phase with such prompts, and between two phases.
+	meanDeadlyInterval = 5 * time.Second
+	// minDeadlyDuration and maxDeadlyDuration bound how long such a phase lasts.
+	minDeadlyDuration = 4 * time.Second
+	maxDeadlyDuration = 12 * time.Second
 	// seriesShare is the share of draws that give a series, which has 2 to maxSeriesLength faults of the same kind that
 	// start seriesInterval apart.
 	seriesShare     = 0.25
@@ -132,9 +157,13 @@
 // NewSchedule draws the faults of a soak from a seed and returns them in order of their start. The same arguments
 // always give the same faults. Faults may overlap and come in series, and none ends after length.
 func NewSchedule(seed uint64, length time.Duration, daemons, workers int) []Fault {
-	l := append(
-		drawFaults(rand.New(rand.NewPCG(seed, 0)), mainFaultKinds, meanFaultInterval, length, daemons, workers),        //nolint:gosec // reproducible faults
-		drawFaults(rand.New(rand.NewPCG(seed, 1)), peerFaultKinds, meanPeerFaultInterval, length, daemons, workers)...) //nolint:gosec // reproducible faults
+	source := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, n)) } //nolint:gosec // reproducible faults
+
+	l := slices.Concat(
+		drawFaults(source(0), mainFaultKinds, meanFaultInterval, length, daemons, workers),
+		drawFaults(source(1), peerFaultKinds, meanPeerFaultInterval, length, daemons, workers),
+		drawFaults(source(2), crashFaultKinds, meanCrashFaultInterval, length, daemons, workers), //nolint:mnd // number of the source
+		drawDeadlyPhases(source(3), length))                                                      //nolint:mnd // number of the source
 	slices.SortStableFunc(l, func(a, b Fault) int { return cmp.Compare(a.start, b.start) })
 
 	return l
@@ -186,3 +215,30 @@
 		}
 	}
 }
+
+// drawDeadlyPhases draws the phases in which prompts crash workers, in a share of the soaks. Such prompts are those of
+// online requests, of items, or of both.
+func drawDeadlyPhases(r *rand.Rand, length time.Duration) []Fault {
+	if r.Float64() >= deadlyRunShare {
+		return nil
+	}
+
+	var l []Fault
+
+	for at := time.Duration(0); ; {
+		f := Fault{start: at + time.Duration(r.ExpFloat64()*float64(meanDeadlyInterval))}
+		f.end = f.start + minDeadlyDuration + time.Duration(r.Int64N(int64(maxDeadlyDuration-minDeadlyDuration)))
+		at = f.end
+
+		if f.start+minDeadlyDuration > length {
+			return l
+		}
+
+		f.end = min(f.end, length)
+
+		for _, k := range [][]FaultKind{{DeadlyOnline}, {DeadlyItems}, {DeadlyOnline, DeadlyItems}}[r.IntN(3)] {
+			f.kind = k
+			l = append(l, f)
+		}
+	}
+}
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -115,6 +115,12 @@
 		j.setStoreFault(f, true)
 		wait()
 		j.setStoreFault(f, false)
+	case CrashReset, CrashEnd, CrashSilent, CrashMany:
+		return j.crashWorkers(f, wait)
+	case DeadlyOnline, DeadlyItems:
+		w.prompts.setDeadly(f.kind, true)
+		wait()
+		w.prompts.setDeadly(f.kind, false)
 	default:
 		return j.injectWorkerFault(f, wait)
 	}
@@ -162,9 +168,9 @@
 		wait()
 		t.proxy.SetDelay(0)
 	case WorkerBreaks:
-		t.worker.SetFaults(worker.Faults{BreakAfter: breakAfterEvent, TearEvent: true})
+		t.worker.SetFaults(worker.Faults{BreakAfter: breakAfterEvent, TearEvent: true, Deadly: deadlyPart})
 		wait()
-		t.worker.SetFaults(worker.Faults{})
+		t.worker.SetFaults(worker.Faults{Deadly: deadlyPart})
 	case WorkerLeaves:
 		if err := j.deployment.setWorkerState(f.index, "draining"); err != nil {
 			return err
@@ -364,7 +370,8 @@
 // affectsWorkers matches the faults of any worker except WorkerLeaves, and KillMany.
 func affectsWorkers(f Fault) bool {
 	switch f.kind {
-	case WorkerCut, WorkerReset, WorkerSilent, WorkerSlow, WorkerBreaks, KillMany:
+	case WorkerCut, WorkerReset, WorkerSilent, WorkerSlow, WorkerBreaks, KillMany,
+		CrashReset, CrashEnd, CrashSilent, CrashMany, DeadlyCrash:
 		return true
 	default:
 		return false
--- a/soak/jobs.go
+++ b/soak/jobs.go
@@ -35,6 +35,8 @@
 type job struct {
 	id              string
 	items           int
+	prompts         []string        // of the items
+	deadly          map[string]bool // IDs of the items with deadlyPart
 	acceptedAt      time.Time       // when a daemon confirmed the job; zero if none did
 	refused         bool            // no daemon accepted the job, and every response promised that no item runs
 	cancelledAt     time.Time       // when the cancellation was confirmed; zero if it was not
@@ -54,9 +56,10 @@
 
 // run submits jobs one after another until ctx is done. After each it reads the results of two random jobs of any
 // client, and then may cancel the job. number is the index of the client.
-func (x *jobClients) run(ctx context.Context, r *rand.Rand, number int) {
+func (x *jobClients) run(ctx context.Context, r *rand.Rand, p *promptSource, number int) {
 	for n := 0; ctx.Err() == nil; n++ {
 		j := &job{id: fmt.Sprintf("job-%d-%d", number, n), items: 1 + r.IntN(maxJobItems)}
+		j.prompts, j.deadly = p.items(j, x.deployment.prompts.isDeadly(DeadlyItems))
 
 		x.mu.Lock()
 		x.jobs = append(x.jobs, j)
@@ -95,7 +98,7 @@
 	refused := true
 
 	for range maxJobAttempts {
-		a := c.SubmitJob(ctx, x.deployment.daemons[r.IntN(len(x.deployment.daemons))].callerAddress, "/batch/x", j.id, j.items)
+		a := c.SubmitJob(ctx, x.deployment.daemons[r.IntN(len(x.deployment.daemons))].callerAddress, "/batch/x", j.id, j.prompts)
 		if ctx.Err() != nil {
 			return
 		}
@@ -222,7 +225,7 @@
 // checkResult checks a result that is read for the first time.
 func (x *jobClients) checkResult(j *job, vm string, r caller.Result) {
 	switch {
-	case !strings.HasPrefix(r.ID, j.id+"."):
+	case !isItemOf(r.ID, j.id):
 		x.recorder.RecordBroken(Listed, j.id, fmt.Sprintf("%s lists item %s of another job", vm, r.ID))
 	case r.IsCompleted() && r.Text != worker.ResultText(r.ID, eventCount):
 		x.recorder.RecordBroken(Listed, j.id, fmt.Sprintf("%s: the text of item %s is not the whole output", vm, r.ID))
@@ -241,10 +244,10 @@
 			continue
 		}
 
-		isDone := func() bool { return j.cancelRequested || x.readResults(ctx, 0, j) == j.items }
+		isDone := func() bool { return j.cancelRequested || x.readResults(ctx, 0, j) >= 0 && len(j.soundOpen()) == 0 }
 		for !isDone() {
 			if time.Now().After(deadline) {
-				x.recorder.RecordBroken(Listed, j.id, fmt.Sprintf("%d of %d items are listed %s after the last fault", len(j.results), j.items, allResultsTimeout))
+				x.recorder.RecordBroken(Listed, j.id, fmt.Sprintf("%v of %d items are not listed %s after the last fault", j.soundOpen(), j.items, allResultsTimeout))
 
 				break
 			}
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -19,6 +19,7 @@
 	Forward   Promise = "forward"   // a daemon never goes back to an older configuration
 	InForce   Promise = "in_force"  // a confirmed configuration is soon in force
 	Shutdown  Promise = "shutdown"  // a daemon that shuts down cuts off no response and exits in time
+	Budget    Promise = "budget"    // a part of prompts that crashes workers soon reaches workers no more
 	Recovered Promise = "recovered" // daemons serve requests after all faults have ended
 )
 
--- a/soak/report.go
+++ b/soak/report.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"html/template"
 	"io"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -17,6 +19,7 @@
 	Broken  []BrokenRecord `json:"broken"`
 	Faults  []FaultRecord  `json:"faults"`
 	Counts  map[string]int `json:"counts"`
+	Open    map[string]int `json:"open"` // items with a part that crashes workers that have no result, by last known reason
 }
 
 // BrokenRecord is a broken promise in a report.
@@ -45,7 +48,14 @@
 		r.Broken = append(r.Broken, BrokenRecord{Promise: b.promise, AtMS: b.at.Milliseconds(), ID: b.id, What: b.description})
 	}
 
+	j.mu.Lock()
+	defer j.mu.Unlock()
+
 	for _, s := range j.injected {
+		if s.to.IsZero() {
+			s.to = time.Now() // the restart of a worker that is down
+		}
+
 		r.Faults = append(r.Faults, FaultRecord{
 			Kind: s.fault.kind, Index: s.fault.index, FromMS: s.from.Sub(l.start).Milliseconds(), ToMS: s.to.Sub(l.start).Milliseconds(),
 		})
@@ -71,6 +81,12 @@
 		}
 	}
 
+	for _, reason := range slices.Sorted(maps.Keys(r.Open)) {
+		if _, err := fmt.Fprintf(w, "  open items that crash workers: %d, last line: %s\n", r.Open[reason], reason); err != nil {
+			return err
+		}
+	}
+
 	return nil
 }
 
--- a/soak/request.go
+++ b/soak/request.go
@@ -41,6 +41,7 @@
 	mu         sync.Mutex
 	repeatable map[string]bool         // whether a request may run more than once, by request ID
 	refused    map[string]bool         // IDs of requests that were refused as not run
+	deadly     map[string]int          // index of the daemon that got a request with deadlyPart, by request ID
 	versions   map[string]shownVersion // by VM of the daemon
 }
 
@@ -52,18 +53,21 @@
 }
 
 func newCallers(w *deployment, j *injector, l *Recorder) *callers {
-	return &callers{deployment: w, injector: j, recorder: l, repeatable: map[string]bool{}, refused: map[string]bool{}, versions: map[string]shownVersion{}}
+	return &callers{
+		deployment: w, injector: j, recorder: l,
+		repeatable: map[string]bool{}, refused: map[string]bool{}, deadly: map[string]int{}, versions: map[string]shownVersion{},
+	}
 }
 
 // run sends the requests of one caller, one after another, until ctx is done.
-func (x *callers) run(ctx context.Context, r *rand.Rand) {
+func (x *callers) run(ctx context.Context, r *rand.Rand, p *promptSource) {
 	c := caller.New(host, requestTimeout)
 	defer c.Close()
 
 	n := r.IntN(len(x.deployment.daemons))
 
 	for ctx.Err() == nil {
-		ok := x.request(ctx, c, r, n)
+		ok := x.request(ctx, c, r, p, n)
 		if !ok || r.Float64() > keepDaemonShare {
 			n = r.IntN(len(x.deployment.daemons))
 		}
@@ -77,18 +81,18 @@
 
 // request sends one request on a random route to daemon n, checks the response, and reports whether the request was
 // served.
-func (x *callers) request(ctx context.Context, c *caller.Caller, r *rand.Rand, n int) bool {
+func (x *callers) request(ctx context.Context, c *caller.Caller, r *rand.Rand, p *promptSource, n int) bool {
 	id := fmt.Sprintf("q%d", x.requestCount.Add(1))
 	d := x.deployment.daemons[n]
 
-	version, repeatable, path := 0, false, "/once/x"
+	version, repeatable, route := 0, false, "once"
 
 	switch k := r.Float64(); {
 	case k < 0.4: //nolint:mnd // shares of the routes
-		repeatable, path = true, "/again/x"
+		repeatable, route = true, "again"
 	case k < 0.6: //nolint:mnd // shares of the routes
 		version = x.deployment.newestVersion()
-		path = fmt.Sprintf("/v%d/x", version)
+		route = fmt.Sprint("v", version)
 	}
 
 	x.mu.Lock()
@@ -96,7 +100,9 @@
 	x.mu.Unlock()
 
 	sentAt, starts := time.Now(), d.startCount()
-	a := c.SendRequest(ctx, d.callerAddress, path, id)
+	a := c.SendRequest(ctx, d.callerAddress, "/"+route+"/x", id, p.next(route, id))
+	served := a.Status() == http.StatusOK && a.IsComplete()
+	p.end(served)
 
 	if ctx.Err() != nil {
 		return false // the request was cancelled, as the soak ends
@@ -109,7 +115,7 @@
 		x.checkVersion(n, starts, version, sentAt, a)
 	}
 
-	return a.Status() == http.StatusOK && a.IsComplete()
+	return served
 }
 
 // expectedStream returns the complete body of the response to a request.
@@ -232,16 +238,22 @@
 	defer c.Close()
 
 	r := rand.New(rand.NewPCG(uint64(n), 0)) //nolint:gosec // only chooses routes
-	served := 0
+	p := newPromptSource(uint64(n), 1, fmt.Sprint("recovery-", n))
+	served, excused := 0, 0
 
 	for range recoveryRequests {
-		if x.request(ctx, c, r, n) {
+		sentAt := time.Now()
+
+		switch {
+		case x.request(ctx, c, r, p, n):
 			served++
+		case !x.injector.isFaultFree(sentAt, time.Now(), func(f Fault) bool { return f.kind == DeadlyCrash }):
+			excused++ // an item that crashes workers was tried meanwhile
 		}
 	}
 
-	if served < recoveryRequests*3/4 {
-		x.recorder.RecordBroken(Recovered, x.deployment.daemons[n].vm, fmt.Sprintf("%d of %d requests are served after all faults", served, recoveryRequests))
+	if served < (recoveryRequests-excused)*3/4 {
+		x.recorder.RecordBroken(Recovered, x.deployment.daemons[n].vm, fmt.Sprintf("%d of %d requests are served after all faults", served, recoveryRequests-excused))
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -27,6 +28,9 @@
 	// finalRecoveryTime is the time between the end of the last fault and the final checks, in which the daemons that
 	// were restarted last find the others.
 	finalRecoveryTime = 4 * time.Second
+	// finalDeadlyTime is added to finalRecoveryTime in soaks with prompts that crash workers. Clients send such prompts
+	// again then, as few of the faults before leave all daemons in touch.
+	finalDeadlyTime = 3 * time.Second
 )
 
 // Run runs a soak and returns its report. An error means that the soak could not be run. Broken promises are not errors
@@ -42,6 +46,7 @@
 	l := NewRecorder()
 	j := &injector{deployment: w, recorder: l}
 	c := newCallers(w, j, l)
+	w.onDeadlyCrash = j.crashUnderPrompt
 	s := &jobClients{deployment: w, injector: j, recorder: l}
 
 	x, stop := context.WithCancel(ctx)
@@ -55,17 +60,28 @@
 	go w.renewRegistrations(renewal)
 
 	for i := range o.Callers {
-		wg.Go(func() { c.run(x, rand.New(rand.NewPCG(o.Seed, uint64(1+i)))) }) //nolint:gosec // reproducible load
+		p := newPromptSource(o.Seed, uint64(5001+i), fmt.Sprint("caller-", i))    //nolint:gosec // a small number
+		wg.Go(func() { c.run(x, rand.New(rand.NewPCG(o.Seed, uint64(1+i))), p) }) //nolint:gosec // reproducible load
+	}
+
+	for i := range deadlyClientCount {
+		wg.Go(func() { c.runDeadly(x, rand.New(rand.NewPCG(o.Seed, uint64(7001+i))), fmt.Sprint("caller-", i)) }) //nolint:gosec // reproducible load
 	}
 
 	for i := range jobClientCount {
-		wg.Go(func() { s.run(x, rand.New(rand.NewPCG(o.Seed, uint64(1001+i))), i) }) //nolint:gosec // reproducible load
+		p := newPromptSource(o.Seed, uint64(6001+i), fmt.Sprint("jobs-", i))            //nolint:gosec // a small number
+		wg.Go(func() { s.run(x, rand.New(rand.NewPCG(o.Seed, uint64(1001+i))), p, i) }) //nolint:gosec // reproducible load
 	}
 
 	j.run(ctx, NewSchedule(o.Seed, o.Length, o.Daemons, o.Workers))
 
+	wait := finalRecoveryTime
+	if w.prompts.repeat() {
+		wait += finalDeadlyTime
+	}
+
 	select {
-	case <-time.After(finalRecoveryTime):
+	case <-time.After(wait):
 	case <-ctx.Done():
 	}
 
@@ -78,6 +94,10 @@
 
 	s.verify(ctx)
 	c.verify(ctx)
+	c.checkBudget(s)
+
+	v := newReport(o, l, j)
+	v.Open, err = s.openDeadlyItems(o.Dir)
 
-	return newReport(o, l, j), nil
+	return v, err
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -60,7 +60,7 @@
 			}
 		}
 
-		So(len(kinds), ShouldEqual, 25)
+		So(len(kinds), ShouldEqual, 31)
 		So(overlaps, ShouldBeGreaterThan, len(l)/4)
 		So(series, ShouldBeGreaterThan, len(l)/20)
 	})
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -45,7 +45,7 @@
 // IsComplete reports whether the body ended without an error, so that it looks complete to the caller.
 func (a Response) IsComplete() bool { return a.complete }
 
-func (c *Caller) send(ctx context.Context, method, url, id string, body []byte) Response {
+func (c *Caller) send(ctx context.Context, method, url, id, prompt string, body []byte) Response {
 	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return Response{}
@@ -58,6 +58,10 @@
 		r.Header.Set("Request-Id", id)
 	}
 
+	if prompt != "" {
+		r.Header.Set(promptHeader, prompt)
+	}
+
 	a, err := c.client.Do(r)
 	if err != nil {
 		return Response{}
@@ -69,10 +73,13 @@
 	return Response{status: a.StatusCode, body: b, complete: err == nil}
 }
 
+// promptHeader is the header field with the parts of a prompt as ID:TOKENS entries, separated by commas.
+const promptHeader = "Prompt-Prefix"
+
 // SendRequest sends an online request with POST to the daemon at address. The path selects the route, and id is the
-// request ID.
-func (c *Caller) SendRequest(ctx context.Context, address, path, id string) Response {
-	return c.send(ctx, http.MethodPost, "http://"+address+path, id, []byte("x"))
+// request ID. The prompt is sent as the Prompt-Prefix header; an empty one is left out.
+func (c *Caller) SendRequest(ctx context.Context, address, path, id, prompt string) Response {
+	return c.send(ctx, http.MethodPost, "http://"+address+path, id, prompt, []byte("x"))
 }
 
 type item struct {
@@ -84,11 +91,11 @@
 }
 
 // SubmitJob submits a job with POST to the daemon at address. The path selects the route of the job and of its items,
-// which are named ID.0, ID.1 and so on.
-func (c *Caller) SubmitJob(ctx context.Context, address, path, id string, items int) Response {
-	l := make([]item, items)
-	for i := range l {
-		l[i] = item{ID: fmt.Sprint(id, ".", i), Path: path, Headers: map[string]string{"Model": "m"}, Body: []byte("body"), Tokens: 1}
+// which are named ID.0, ID.1 and so on. Each prompt gives an item.
+func (c *Caller) SubmitJob(ctx context.Context, address, path, id string, prompts []string) Response {
+	l := make([]item, len(prompts))
+	for i, p := range prompts {
+		l[i] = item{ID: fmt.Sprint(id, ".", i), Path: path, Headers: map[string]string{"Model": "m", promptHeader: p}, Body: []byte("body"), Tokens: 1}
 	}
 
 	b, err := json.Marshal(map[string]any{"items": l})
@@ -96,7 +103,7 @@
 		return Response{}
 	}
 
-	return c.send(ctx, http.MethodPost, "http://"+address+path, id, b)
+	return c.send(ctx, http.MethodPost, "http://"+address+path, id, "", b)
 }
 
 // Result is the published result of an item.
@@ -121,7 +128,7 @@
 func (c *Caller) Read(ctx context.Context, address, job string) (Page, Response, error) {
 	var p Page
 
-	a := c.send(ctx, http.MethodGet, "http://"+address+"/lots/"+job, "", nil)
+	a := c.send(ctx, http.MethodGet, "http://"+address+"/lots/"+job, "", "", nil)
 	if a.status != http.StatusOK || !a.complete {
 		return p, a, nil
 	}
@@ -133,5 +140,5 @@
 
 // CancelJob cancels a job with DELETE.
 func (c *Caller) CancelJob(ctx context.Context, address, job string) Response {
-	return c.send(ctx, http.MethodDelete, "http://"+address+"/lots/"+job, "", nil)
+	return c.send(ctx, http.MethodDelete, "http://"+address+"/lots/"+job, "", "", nil)
 }
--- a/standin/proxy/proxy.go
+++ b/standin/proxy/proxy.go
@@ -25,10 +25,12 @@
 
 // Proxy forwards connections to one address, its target. It is safe for concurrent use. Create one with New.
 type Proxy struct {
-	listener net.Listener
-	target   string
+	address string
+	target  string
 
 	mu         sync.Mutex
+	listener   net.Listener // nil while connections are refused
+	outage     outage
 	down       bool                 // open connections are closed, and new ones are closed as soon as they are accepted
 	delay      time.Duration        // delay before each read is forwarded, in both directions
 	dropsOlder [directionCount]bool // bytes of connections of earlier epochs are dropped
@@ -44,19 +46,27 @@
 		return nil, err
 	}
 
-	p := &Proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
-	go p.serve()
+	p := &Proxy{address: l.Addr().String(), listener: l, target: target, conns: map[net.Conn]bool{}}
+	go p.serve(l)
 
 	return p, nil
 }
 
 // Address returns the address on which the proxy listens.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
 
 // Close closes the listener and all connections. The proxy cannot be used afterwards.
 func (p *Proxy) Close() {
 	p.SetDown(true)
-	_ = p.listener.Close()
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.outage.closed = true
+
+	if p.listener != nil {
+		_ = p.listener.Close()
+	}
 }
 
 // SetDown takes the proxy down or up. While it is down, all connections are closed, new ones as soon as they are
@@ -117,9 +127,9 @@
 	p.delay = d
 }
 
-func (p *Proxy) serve() {
+func (p *Proxy) serve(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -131,6 +141,10 @@
 func (p *Proxy) forward(c net.Conn) {
 	defer func() { _ = c.Close() }()
 
+	if p.holdSilent(c) {
+		return
+	}
+
 	t, err := net.Dial("tcp", p.target) //nolint:noctx // loopback
 	if err != nil {
 		return
@@ -157,7 +171,7 @@
 
 	p.conns[c], p.conns[t] = true, true
 
-	return p.epoch, !p.down
+	return p.epoch, !p.down && !p.outage.crashed
 }
 
 func (p *Proxy) remove(c, t net.Conn) {
@@ -183,7 +197,7 @@
 			}
 		}
 
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && !p.isSilent() {
 			if t, ok := dst.(*net.TCPConn); ok {
 				_ = t.CloseWrite()
 			}
--- a/standin/store/records.go
+++ b/standin/store/records.go
@@ -88,7 +88,8 @@
 // PutRegistration writes the registration of a worker, as the worker itself does. It overwrites Version and Born with
 // constants, and Number with the present time in milliseconds.
 func (s *Store) PutRegistration(id string, r Registration) error {
-	r.Version, r.Born, r.Number = "v1", 1, time.Now().UnixMilli()
+	r.Version, r.Number = "v1", time.Now().UnixMilli()
+	r.Born = max(r.Born, 1) // a worker without a start is not one to use
 
 	b, err := json.Marshal(r)
 	if err != nil {
@@ -99,3 +100,7 @@
 
 	return nil
 }
+
+// DeleteRegistration deletes the registration of a worker, as the platform does when a worker has written none for a
+// time.
+func (s *Store) DeleteRegistration(id string) { s.Put(registrationsTopic, id, nil) }
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -60,6 +60,7 @@
 	runs    []*Run // in order of their start
 	crashes int
 	crashed chan struct{} // closed at the next crash
+	outage  outage
 }
 
 // New returns a worker without faults.
@@ -75,18 +76,21 @@
 	return k.crashes
 }
 
-// crash aborts all responses that are under way and calls Options.OnCrash.
+// crash calls Options.OnCrash, which decides how clients see the crash, and then aborts all responses that are under way.
 func (k *Worker) crash() {
 	k.mu.Lock()
 	k.crashes++
-
-	close(k.crashed)
-	k.crashed = make(chan struct{})
 	k.mu.Unlock()
 
 	if k.options.OnCrash != nil {
 		k.options.OnCrash()
 	}
+
+	k.mu.Lock()
+	defer k.mu.Unlock()
+
+	close(k.crashed)
+	k.crashed = make(chan struct{})
 }
 
 // nextCrash returns a channel that is closed at the next crash.
@@ -172,7 +176,7 @@
 	}
 	defer func() { <-k.slots }()
 
-	if r.Context().Err() == nil {
+	if r.Context().Err() == nil && !k.isDown() {
 		k.streamEvents(w, r, id, string(b))
 	}
 }
@@ -275,7 +279,7 @@
 
 	for n := after + 1; n <= k.options.Events; n++ {
 		select {
-		case <-time.After(k.options.Gap):
+		case <-time.After(k.eventGap()):
 		case <-crashed:
 			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
