soak: waves of crashes, and jobs of 20 to 60 items

Change: two more clients submit jobs of 20 to 60 items; in 30 in 100 soaks workers crash twice as often.

--- a/soak/fault.go
+++ b/soak/fault.go
@@ -137,6 +137,9 @@
 	meanPeerFaultInterval = 2500 * time.Millisecond
 	// meanCrashFaultInterval is the mean time between two draws of crashFaultKinds.
 	meanCrashFaultInterval = 2 * time.Second
+	// crashWaveShare is the share of soaks in which workers crash crashWaveFactor times as often.
+	crashWaveShare  = 0.3
+	crashWaveFactor = 2
 	// deadlyRunShare is the share of soaks with prompts that crash workers.
 	deadlyRunShare = 0.6
 	// meanDeadlyInterval is the mean time before the first phase with such prompts, and between two phases.
@@ -159,11 +162,16 @@
 func NewSchedule(seed uint64, length time.Duration, daemons, workers int) []Fault {
 	source := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, n)) } //nolint:gosec // reproducible faults
 
+	crashes, crashInterval := source(2), meanCrashFaultInterval //nolint:mnd // number of the source
+	if crashes.Float64() < crashWaveShare {
+		crashInterval /= crashWaveFactor
+	}
+
 	l := slices.Concat(
 		drawFaults(source(0), mainFaultKinds, meanFaultInterval, length, daemons, workers),
 		drawFaults(source(1), peerFaultKinds, meanPeerFaultInterval, length, daemons, workers),
-		drawFaults(source(2), crashFaultKinds, meanCrashFaultInterval, length, daemons, workers), //nolint:mnd // number of the source
-		drawDeadlyPhases(source(3), length))                                                      //nolint:mnd // number of the source
+		drawFaults(crashes, crashFaultKinds, crashInterval, length, daemons, workers),
+		drawDeadlyPhases(source(3), length)) //nolint:mnd // number of the source
 	slices.SortStableFunc(l, func(a, b Fault) int { return cmp.Compare(a.start, b.start) })
 
 	return l
--- a/soak/jobs.go
+++ b/soak/jobs.go
@@ -18,6 +18,10 @@
 	meanJobPause = 2 * time.Second
 	// maxJobItems is the greatest number of items of a job.
 	maxJobItems = 12
+	// The jobs of bulk clients have minBulkItems to maxBulkItems items, so that many attempts begin side by side at a
+	// worker and wait for slots.
+	minBulkItems = 20
+	maxBulkItems = 60
 	// maxJobAttempts bounds the requests, each to a random daemon, that submit or cancel a job.
 	maxJobAttempts = 6
 	// cancelledJobShare is the share of jobs that their client tries to cancel.
@@ -59,6 +63,10 @@
 func (x *jobClients) run(ctx context.Context, r *rand.Rand, p *promptSource, number int) {
 	for n := 0; ctx.Err() == nil; n++ {
 		j := &job{id: fmt.Sprintf("job-%d-%d", number, n), items: 1 + r.IntN(maxJobItems)}
+		if number >= jobClientCount {
+			j.items = minBulkItems + r.IntN(maxBulkItems-minBulkItems+1)
+		}
+
 		j.prompts, j.deadly = p.items(j, x.deployment.prompts.isDeadly(DeadlyItems))
 
 		x.mu.Lock()
--- a/soak/report.go
+++ b/soak/report.go
@@ -119,6 +119,7 @@
 <h2>Seed {{.Seed}}: {{len .Broken}} promises broken</h2>
 <p>{{.Daemons}} daemons, {{.Workers}} workers, faults for {{.Length}}.</p>
 {{range .Broken}}<p class="broken">{{.AtMS}} ms, {{.Promise}}, {{.ID}}: {{.What}}</p>{{end}}
+{{range $reason, $n := .Open}}<p>{{$n}} open items that crash workers, last line: {{$reason}}</p>{{end}}
 {{range .Faults}}<div class="line"><span class="name">{{.FromMS}} ms {{.Kind}} {{.Index}}</span><span class="bar" style="margin-left: 15em; left: {{left .FromMS}}; width: {{width .}}"></span></div>
 {{end}}
 {{end}}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -25,6 +25,8 @@
 const (
 	// jobClientCount is the number of clients that submit jobs.
 	jobClientCount = 3
+	// bulkClientCount is the number of clients besides that submit larger jobs.
+	bulkClientCount = 2
 	// finalRecoveryTime is the time between the end of the last fault and the final checks, in which the daemons that
 	// were restarted last find the others.
 	finalRecoveryTime = 4 * time.Second
@@ -68,7 +70,7 @@
 		wg.Go(func() { c.runDeadly(x, rand.New(rand.NewPCG(o.Seed, uint64(7001+i))), fmt.Sprint("caller-", i)) }) //nolint:gosec // reproducible load
 	}
 
-	for i := range jobClientCount {
+	for i := range jobClientCount + bulkClientCount {
 		p := newPromptSource(o.Seed, uint64(6001+i), fmt.Sprint("jobs-", i))            //nolint:gosec // a small number
 		wg.Go(func() { s.run(x, rand.New(rand.NewPCG(o.Seed, uint64(1001+i))), p, i) }) //nolint:gosec // reproducible load
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"testing"
 	"time"
 
@@ -66,12 +67,41 @@
 	})
 }
 
+// Guards against phases of prompts that crash workers that are too short for five crashes and their check, and against
+// soaks that always or never have them.
+func TestDeadlyPhases(t *testing.T) {
+	Convey("Some schedules have prompts that crash workers, on requests, items or both", t, func() {
+		soaks := map[string]int{}
+
+		for seed := range uint64(200) {
+			online, items := false, false
+
+			for _, f := range soak.NewSchedule(seed, 20*time.Second, 9, 6) {
+				if f.Kind() != soak.DeadlyOnline && f.Kind() != soak.DeadlyItems {
+					continue
+				}
+
+				online, items = online || f.Kind() == soak.DeadlyOnline, items || f.Kind() == soak.DeadlyItems
+
+				So(f.End()-f.Start(), ShouldBeGreaterThanOrEqualTo, 4*time.Second)
+			}
+
+			soaks[fmt.Sprint(online, items)]++
+		}
+
+		for _, k := range []string{"false false", "true false", "false true", "true true"} {
+			So(soaks[k], ShouldBeGreaterThan, 20)
+		}
+	})
+}
+
 // Guards against reports and recorders that leave out broken promises.
 func TestReport(t *testing.T) {
 	Convey("A report contains the broken promises in each format", t, func() {
 		r := soak.Report{
 			Seed: 7, Broken: []soak.BrokenRecord{{Promise: soak.Once, AtMS: 1500, ID: "q1", What: "the request ran 2 times"}},
 			Faults: []soak.FaultRecord{{Kind: soak.Kill, Index: 3, FromMS: 1000, ToMS: 2000}},
+			Open:   map[string]int{"no_slot quarantined": 2},
 		}
 
 		So(r.AllPromisesKept(), ShouldBeFalse)
@@ -87,6 +117,7 @@
 			So(write(&b), ShouldBeNil)
 			So(b.String(), ShouldContainSubstring, "q1")
 			So(b.String(), ShouldContainSubstring, "the request ran 2 times")
+			So(b.String(), ShouldContainSubstring, "no_slot quarantined")
 		}
 	})
 
