quarantine: log the rule and the crashes behind each quarantine

Releases of slots carry what is needed. No decision changes; the tests of quarantine, slots and daemon pass, with their assertions on the new result type.

--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"errors"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -44,8 +45,9 @@
 	}
 
 	// Targets may crash under a part of the prompt.
-	if s.Err() != nil && s.LastEvent() == 0 && len(r.PromptParts()) > 0 {
-		e = e.Strs("parts", r.PromptParts())
+	crashed := errors.Is(s.Err(), filter.ErrTargetCrashed)
+	if s.Err() != nil && (s.LastEvent() == 0 || crashed) && len(r.PromptParts()) > 0 {
+		e = e.Strs("parts", r.PromptParts()).Bool("target_crashed", crashed)
 	}
 
 	if s.Err() != nil {
--- a/internal/serve/quarantine/controller.go
+++ b/internal/serve/quarantine/controller.go
@@ -1,12 +1,9 @@
 package quarantine
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
-
-	"github.com/agategap/agategap/filter"
 )
 
 // Notifier sends the quarantined combinations to the other daemons.
@@ -63,14 +60,18 @@
 
 // AddCrash records that a target crashed when it began the response to a prompt. The daemon that grants the slots of the
 // service calls it.
-func (c *Controller) AddCrash(p Prompt, t filter.Target) {
+func (c *Controller) AddCrash(p Prompt, n Crash) {
 	c.counter.Count("suspect_crashes", 1)
 
-	l := c.registry.AddCrash(p, t.Name()+"/"+strconv.FormatInt(t.Start(), 10), c.clock())
-	for _, e := range l {
+	l := c.registry.AddCrash(p, n, c.clock())
+
+	for _, d := range l {
+		e := d.Entry()
+
 		c.counter.Count("quarantined_prompts", 1)
-		c.logger.Warn().Str("event", "prompt_quarantined").Str("service", e.Service()).Strs("parts", e.Parts()).Str("target", t.Name()).
-			Int("strikes", e.Strikes()).Dur("for", e.Remaining()).Msg("targets keep crashing under prompts with these parts, requests with all of them are rejected")
+		c.logger.Warn().Str("event", "prompt_quarantined").Str("service", e.Service()).Strs("parts", e.Parts()).Str("target", n.Target()).
+			Str("rule", string(d.Rule())).Strs("crashes", describeCrashes(d.Crashes())).Int("strikes", e.Strikes()).Dur("for", e.Remaining()).
+			Msg("targets keep crashing under prompts with these parts, requests with all of them are rejected")
 	}
 
 	if len(l) > 0 && c.notifier != nil {
@@ -78,6 +79,18 @@
 	}
 }
 
+// maxLoggedCrashes bounds the crashes in one log line. The last ones are logged.
+const maxLoggedCrashes = 8
+
+func describeCrashes(l []Crash) []string {
+	var s []string
+	for _, c := range l[max(0, len(l)-maxLoggedCrashes):] {
+		s = append(s, c.String())
+	}
+
+	return s
+}
+
 // Entries returns the quarantined combinations, those with the most time remaining first.
 func (c *Controller) Entries() []Entry { return c.registry.Entries(c.clock()) }
 
--- a/internal/serve/quarantine/property_test.go
+++ b/internal/serve/quarantine/property_test.go
@@ -44,7 +44,7 @@
 			},
 			"crash": func(t *rapid.T) {
 				_, p := newPrompt()
-				r.AddCrash(p, fmt.Sprint("t", rapid.IntRange(0, 5).Draw(t, "target")), now)
+				r.AddCrash(p, crashOf(fmt.Sprint("t", rapid.IntRange(0, 5).Draw(t, "target"))), now)
 			},
 			"import": func(t *rapid.T) {
 				l, _ := newPrompt()
--- a/internal/serve/quarantine/registry.go
+++ b/internal/serve/quarantine/registry.go
@@ -66,17 +66,18 @@
 
 // serviceState is what is known about the prompts of a service.
 type serviceState struct {
-	crashes      []crash // one for each request that a crash ended
-	lastCrash    int     // number of the last crash
+	crashes      []suspectCrash // one for each request that a crash ended
+	lastCrash    int            // number of the last crash
 	combinations []*combination
 }
 
-// crash is the crash of an incarnation of a target when it began the response to a prompt.
-type crash struct {
-	prompt      Prompt // without the parts that were known to be sound
-	incarnation string
-	at          time.Time
-	number      int // the same for all requests that one crash ended
+// suspectCrash is a crash of a target with the prompt of the attempt that it ended.
+type suspectCrash struct {
+	Crash
+
+	prompt Prompt // without the parts that were known to be sound
+	at     time.Time
+	number int // the same for all requests that one crash ended
 }
 
 // combination is a combination of parts that is or was quarantined.
@@ -154,7 +155,7 @@
 		return len(rest) == 0
 	})
 
-	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return c.prompt.own == p.own })
+	s.crashes = slices.DeleteFunc(s.crashes, func(c suspectCrash) bool { return c.prompt.own == p.own })
 
 	for i := range s.crashes {
 		s.crashes[i].prompt.shared = slices.DeleteFunc(s.crashes[i].prompt.shared, p.has)
@@ -170,9 +171,8 @@
 	return p
 }
 
-// AddCrash records that an incarnation of a target crashed when it began the response to a prompt. It returns the
-// combinations of parts whose quarantine starts.
-func (r *Registry) AddCrash(p Prompt, incarnation string, now time.Time) []Entry {
+// AddCrash records that a target crashed when it began the response to a prompt. It returns the quarantines that start.
+func (r *Registry) AddCrash(p Prompt, n Crash, now time.Time) []Decision {
 	if p.own == "" {
 		return nil
 	}
@@ -193,16 +193,31 @@
 
 		c.quarantine(now)
 
-		return []Entry{c.entry(p.service, now)}
+		return []Decision{{entry: c.entry(p.service, now), rule: FailedTrial, crashes: []Crash{n}}}
 	}
 
-	s.addCrash(crash{prompt: r.Suspects(p, now), incarnation: incarnation, at: now})
+	s.addCrash(suspectCrash{Crash: n, prompt: r.Suspects(p, now), at: now})
 
-	var l []Entry
+	var l []Decision
+
+	if parts := r.commonParts(s, p, now); len(parts) > 0 {
+		l = append(l, Decision{entry: s.add(parts, now).entry(p.service, now), rule: SharedPart, crashes: s.crashesWith(parts)})
+	}
+
+	if parts := s.repeatedPrompt(p); len(parts) > 0 {
+		l = append(l, Decision{entry: s.add(parts, now).entry(p.service, now), rule: RepeatedPrompt, crashes: s.crashesWith(parts)})
+	}
 
-	for _, parts := range [][]string{r.commonParts(s, p, now), s.repeatedPrompt(p)} {
-		if len(parts) > 0 {
-			l = append(l, s.add(parts, now).entry(p.service, now))
+	return l
+}
+
+// crashesWith returns the crashes under prompts with all of some parts.
+func (s *serviceState) crashesWith(parts []string) []Crash {
+	var l []Crash
+
+	for _, c := range s.crashes {
+		if c.prompt.hasAll(parts) {
+			l = append(l, c.Crash)
 		}
 	}
 
@@ -210,14 +225,14 @@
 }
 
 // addCrash adds a crash and removes those that no longer count.
-func (s *serviceState) addCrash(n crash) {
-	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return n.at.Sub(c.at) >= evidencePeriod })
+func (s *serviceState) addCrash(n suspectCrash) {
+	s.crashes = slices.DeleteFunc(s.crashes, func(c suspectCrash) bool { return n.at.Sub(c.at) >= evidencePeriod })
 	if len(s.crashes) >= maxCrashes {
 		s.crashes = s.crashes[1:]
 	}
 
 	for _, c := range s.crashes {
-		if c.incarnation == n.incarnation && n.at.Sub(c.at) < crashSpacing {
+		if c.incarnation() == n.incarnation() && n.at.Sub(c.at) < crashSpacing {
 			n.number = c.number
 		}
 	}
--- a/internal/serve/quarantine/registry_test.go
+++ b/internal/serve/quarantine/registry_test.go
@@ -18,6 +18,9 @@
 // prompt returns a prompt of service "s".
 func prompt(parts ...string) quarantine.Prompt { return quarantine.NewPrompt("s", parts) }
 
+// crashOf returns the crash of a target.
+func crashOf(target string) quarantine.Crash { return quarantine.NewCrash(target, 0) }
+
 func isRejected(r *quarantine.Registry, p quarantine.Prompt, now time.Time) bool {
 	_, ok := r.Find(p, now)
 
@@ -31,15 +34,17 @@
 		So(r.MarkSound(prompt("route", "caller", "r0"), at(0)), ShouldBeEmpty)
 
 		Convey("crashes of three targets under two prompts quarantine the part that they have in common", func() {
-			So(r.AddCrash(prompt("route", "caller", "bad", "r1"), "t1", at(1)), ShouldBeEmpty)
+			So(r.AddCrash(prompt("route", "caller", "bad", "r1"), crashOf("t1"), at(1)), ShouldBeEmpty)
 			So(isRejected(r, prompt("route", "caller", "bad", "r9"), at(1)), ShouldBeFalse)
-			r.AddCrash(prompt("route", "caller", "bad", "r1"), "t2", at(1.1))
+			r.AddCrash(prompt("route", "caller", "bad", "r1"), crashOf("t2"), at(1.1))
 			So(isRejected(r, prompt("route", "caller", "bad", "r9"), at(1.2)), ShouldBeFalse)
 
-			l := r.AddCrash(prompt("route", "caller", "bad", "r2"), "t3", at(1.3))
+			l := r.AddCrash(prompt("route", "caller", "bad", "r2"), crashOf("t3"), at(1.3))
 			So(l, ShouldHaveLength, 1)
-			So(l[0].Parts(), ShouldResemble, []string{"bad"})
-			So(l[0].Remaining(), ShouldEqual, 2*time.Minute)
+			So(l[0].Rule(), ShouldEqual, quarantine.SharedPart)
+			So(l[0].Crashes(), ShouldHaveLength, 3)
+			So(l[0].Entry().Parts(), ShouldResemble, []string{"bad"})
+			So(l[0].Entry().Remaining(), ShouldEqual, 2*time.Minute)
 
 			So(isRejected(r, prompt("route", "caller", "bad", "r9"), at(2)), ShouldBeTrue)
 			So(isRejected(r, prompt("other", "bad", "r8"), at(2)), ShouldBeTrue)
@@ -47,39 +52,39 @@
 			So(isRejected(r, quarantine.NewPrompt("other", []string{"bad", "r9"}), at(2)), ShouldBeFalse)
 
 			Convey("and crashes of requests that were sent before have no further effect", func() {
-				So(r.AddCrash(prompt("route", "caller", "bad", "r4"), "t4", at(2)), ShouldBeEmpty)
+				So(r.AddCrash(prompt("route", "caller", "bad", "r4"), crashOf("t4"), at(2)), ShouldBeEmpty)
 				So(r.Entries(at(2)), ShouldHaveLength, 1)
 			})
 		})
 
 		Convey("the same prompt is not sent to a fourth target", func() {
-			r.AddCrash(prompt("route", "caller", "bad", "r1"), "t1", at(1))
-			r.AddCrash(prompt("route", "caller", "bad", "r1"), "t2", at(2))
-			So(r.AddCrash(prompt("route", "caller", "bad", "r1"), "t3", at(3)), ShouldHaveLength, 1)
+			r.AddCrash(prompt("route", "caller", "bad", "r1"), crashOf("t1"), at(1))
+			r.AddCrash(prompt("route", "caller", "bad", "r1"), crashOf("t2"), at(2))
+			So(r.AddCrash(prompt("route", "caller", "bad", "r1"), crashOf("t3"), at(3)), ShouldHaveLength, 1)
 			So(isRejected(r, prompt("route", "caller", "bad", "r1"), at(3)), ShouldBeTrue)
 			So(isRejected(r, prompt("route", "caller", "bad", "r2"), at(3)), ShouldBeFalse)
 
 			Convey("and the part is quarantined after the next crash under another one", func() {
-				l := r.AddCrash(prompt("route", "caller", "bad", "r2"), "t4", at(4))
+				l := r.AddCrash(prompt("route", "caller", "bad", "r2"), crashOf("t4"), at(4))
 				So(l, ShouldHaveLength, 1)
-				So(l[0].Parts(), ShouldResemble, []string{"bad"})
+				So(l[0].Entry().Parts(), ShouldResemble, []string{"bad"})
 			})
 		})
 
 		Convey("all requests that one crash ends count once", func() {
 			for i := range 10 {
-				So(r.AddCrash(prompt("route", "cold", fmt.Sprint("r", i)), "t1", at(1)), ShouldBeEmpty)
+				So(r.AddCrash(prompt("route", "cold", fmt.Sprint("r", i)), crashOf("t1"), at(1)), ShouldBeEmpty)
 			}
 
 			Convey("but the same incarnation may crash again before its registration is renewed", func() {
-				r.AddCrash(prompt("route", "cold", "r1"), "t1", at(3))
-				So(r.AddCrash(prompt("route", "cold", "r2"), "t1", at(5)), ShouldHaveLength, 1)
+				r.AddCrash(prompt("route", "cold", "r1"), crashOf("t1"), at(3))
+				So(r.AddCrash(prompt("route", "cold", "r2"), crashOf("t1"), at(5)), ShouldHaveLength, 1)
 			})
 		})
 
 		Convey("sound parts are not blamed, however many targets crash at once", func() {
 			for i := range 50 {
-				So(r.AddCrash(prompt("route", "caller", fmt.Sprint("r", i)), fmt.Sprint("t", i), at(30)), ShouldBeEmpty)
+				So(r.AddCrash(prompt("route", "caller", fmt.Sprint("r", i)), crashOf(fmt.Sprint("t", i)), at(30)), ShouldBeEmpty)
 			}
 
 			So(r.Entries(at(30)), ShouldBeEmpty)
@@ -87,7 +92,7 @@
 
 		Convey("a part that is not known to be sound is quarantined only in combination with the one beside it", func() {
 			for i := range 3 {
-				r.AddCrash(prompt("route", "quiet caller", "bad", fmt.Sprint("r", i)), fmt.Sprint("t", i), at(1))
+				r.AddCrash(prompt("route", "quiet caller", "bad", fmt.Sprint("r", i)), crashOf(fmt.Sprint("t", i)), at(1))
 			}
 
 			So(isRejected(r, prompt("route", "quiet caller", "bad", "r9"), at(2)), ShouldBeTrue)
@@ -101,7 +106,7 @@
 			})
 
 			Convey("until the other one crashes a target without it", func() {
-				So(r.AddCrash(prompt("route", "caller", "bad", "r8"), "t8", at(3)), ShouldHaveLength, 1)
+				So(r.AddCrash(prompt("route", "caller", "bad", "r8"), crashOf("t8"), at(3)), ShouldHaveLength, 1)
 				So(isRejected(r, prompt("route", "bad", "r9"), at(4)), ShouldBeTrue)
 				So(isRejected(r, prompt("route", "quiet caller", "r9"), at(4)), ShouldBeFalse)
 			})
@@ -113,9 +118,9 @@
 		})
 
 		Convey("old crashes do not count", func() {
-			r.AddCrash(prompt("route", "bad", "r1"), "t1", at(1))
-			r.AddCrash(prompt("route", "bad", "r2"), "t2", at(2))
-			So(r.AddCrash(prompt("route", "bad", "r3"), "t3", at(1000)), ShouldBeEmpty)
+			r.AddCrash(prompt("route", "bad", "r1"), crashOf("t1"), at(1))
+			r.AddCrash(prompt("route", "bad", "r2"), crashOf("t2"), at(2))
+			So(r.AddCrash(prompt("route", "bad", "r3"), crashOf("t3"), at(1000)), ShouldBeEmpty)
 		})
 	})
 }
@@ -127,7 +132,7 @@
 		r.MarkSound(prompt("route", "r0"), at(0))
 
 		for i := range 3 {
-			r.AddCrash(prompt("route", "bad", fmt.Sprint("r", i)), fmt.Sprint("t", i), at(1))
+			r.AddCrash(prompt("route", "bad", fmt.Sprint("r", i)), crashOf(fmt.Sprint("t", i)), at(1))
 		}
 
 		now := at(122)
@@ -153,10 +158,10 @@
 		})
 
 		Convey("a crash starts a quarantine of twice the length", func() {
-			l := r.AddCrash(p, "t9", now)
+			l := r.AddCrash(p, crashOf("t9"), now)
 			So(l, ShouldHaveLength, 1)
-			So(l[0].Remaining(), ShouldEqual, 4*time.Minute)
-			So(l[0].Strikes(), ShouldEqual, 2)
+			So(l[0].Entry().Remaining(), ShouldEqual, 4*time.Minute)
+			So(l[0].Entry().Strikes(), ShouldEqual, 2)
 
 			_, rejected := r.Admit(p, "first", now)
 			So(rejected, ShouldBeTrue)
@@ -180,8 +185,8 @@
 			p := prompt("bad", "r1")
 			r.Admit(p, fmt.Sprint("a", i), now)
 
-			if l := r.AddCrash(p, fmt.Sprint("t", i), now); len(l) > 0 {
-				last = l[0]
+			if l := r.AddCrash(p, crashOf(fmt.Sprint("t", i)), now); len(l) > 0 {
+				last = l[0].Entry()
 				now = now.Add(last.Remaining())
 			}
 		}
@@ -243,7 +248,7 @@
 		for i := range 2000 {
 			p := prompt(fmt.Sprint("q", i), fmt.Sprint("r", i))
 			for _, n := range []string{"t1", "t2", "t3"} {
-				r.AddCrash(p, n, at(0))
+				r.AddCrash(p, crashOf(n), at(0))
 			}
 		}
 
@@ -266,7 +271,7 @@
 		r := &quarantine.Registry{}
 
 		for i := range 10 {
-			So(r.AddCrash(quarantine.NewPrompt("s", nil), fmt.Sprint("t", i), at(1)), ShouldBeEmpty)
+			So(r.AddCrash(quarantine.NewPrompt("s", nil), crashOf(fmt.Sprint("t", i)), at(1)), ShouldBeEmpty)
 		}
 
 		So(isRejected(r, quarantine.NewPrompt("s", nil), at(1)), ShouldBeFalse)
--- a/slots/holder.go
+++ b/slots/holder.go
@@ -156,7 +156,7 @@
 
 		t, ok := h.targetFinder.Find(s.targetName, time.Now())
 		if ok {
-			s.target = filter.NewTarget(t.Name(), t.Address()).WithStart(t.Start())
+			s.target, s.request = filter.NewTarget(t.Name(), t.Address()).WithStart(t.Start()), r.ID()
 
 			return s, nil
 		}
--- a/slots/lease.go
+++ b/slots/lease.go
@@ -19,6 +19,7 @@
 	due         time.Time
 	expectedEnd time.Time
 	target      filter.Target // set by Acquire
+	request     string        // identifier of the request; set by Acquire
 	parts       []string      // of the prompt
 	preempted   chan struct{}
 	preemptOnce sync.Once
@@ -55,6 +56,7 @@
 		h.quarantine.MarkSound(newPrompt(s.service, s.parts))
 	case filter.PromptSuspect:
 		q.Parts, q.Start = h.quarantine.Suspects(newPrompt(s.service, s.parts)).Parts(), s.target.Start()
+		q.Request, q.Events, q.AgeMS = s.request, v.Tokens(), v.Total().Milliseconds()
 	case filter.PromptUntested:
 	}
 
--- a/slots/message.go
+++ b/slots/message.go
@@ -46,7 +46,12 @@
 	// Parts are the parts of the prompt that Prompt, a filter.PromptOutcome, is about.
 	Parts  []string `msgpack:"parts"`
 	Prompt uint8    `msgpack:"prompt"`
-	Start  int64    `msgpack:"start"` // start of the target's process, Unix milliseconds; set with Parts
+	// Request, Start, Events and AgeMS are set with suspect parts: the identifier of the request, the start of the
+	// target's process in Unix milliseconds, and the events and the age of the attempt at its end.
+	Request string `msgpack:"request"`
+	Start   int64  `msgpack:"start"`
+	Events  int    `msgpack:"events"`
+	AgeMS   int64  `msgpack:"age_ms"`
 }
 
 // ReportArgs lists all leases of a daemon for one service.
--- a/slots/owner.go
+++ b/slots/owner.go
@@ -11,6 +11,7 @@
 
 	"github.com/agategap/agategap/filter"
 	"github.com/agategap/agategap/fleet"
+	"github.com/agategap/agategap/internal/serve/quarantine"
 	"github.com/agategap/agategap/pool"
 	"github.com/agategap/agategap/shard"
 )
@@ -189,7 +190,8 @@
 	case filter.PromptSound:
 		o.quarantine.MarkSound(p)
 	case filter.PromptSuspect:
-		o.quarantine.AddCrash(p, filter.NewTarget(q.Target, "").WithStart(q.Start))
+		o.quarantine.AddCrash(p, quarantine.NewCrash(q.Target, q.Start).
+			WithAttempt(q.Request, q.Events, time.Duration(q.AgeMS)*time.Millisecond))
 	case filter.PromptUntested:
 	}
 
--- a/slots/quarantine.go
+++ b/slots/quarantine.go
@@ -1,7 +1,6 @@
 package slots
 
 import (
-	"github.com/agategap/agategap/filter"
 	"github.com/agategap/agategap/internal/serve/quarantine"
 	"github.com/agategap/agategap/outcome"
 )
@@ -20,7 +19,7 @@
 	// MarkSound records that a response to a prompt got beyond its beginning.
 	MarkSound(p quarantine.Prompt)
 	// AddCrash records that a target crashed when it began the response to a prompt.
-	AddCrash(p quarantine.Prompt, t filter.Target)
+	AddCrash(p quarantine.Prompt, c quarantine.Crash)
 	// CountRejection counts a request that was rejected because of a quarantined combination.
 	CountRejection()
 }
@@ -37,7 +36,7 @@
 }
 func (noQuarantine) Suspects(p quarantine.Prompt) quarantine.Prompt { return p }
 func (noQuarantine) MarkSound(quarantine.Prompt)                    {}
-func (noQuarantine) AddCrash(quarantine.Prompt, filter.Target)      {}
+func (noQuarantine) AddCrash(quarantine.Prompt, quarantine.Crash)   {}
 func (noQuarantine) CountRejection()                                {}
 
 // newPrompt returns the prompt with the parts in a message. If there are too many, the first ones are kept, which more
