--- /dev/null
+++ b/internal/serve/quarantine/fleet_adapter_test.go
@@ -0,0 +1,100 @@
+package quarantine_test
+
+import (
+	"time"
+
+	"github.com/agategap/agategap/internal/serve/quarantine"
+)
+
+// This file holds all uses that the model of a fleet makes of the package, and the rules of the callers that go with it.
+
+const (
+	fleetService = "s"
+	// maxCrashEvents is the number of events up to which a crash counts as caused by the prompt, as in package filter.
+	maxCrashEvents = 3
+	// reportsSoundEarly tells whether a response is reported as sound at its fourth event, and not at its end.
+	reportsSoundEarly = false
+)
+
+// rejectionRetryDelay returns the delay after which an item that was rejected because of an entry is tried again.
+func rejectionRetryDelay(quarantine.Entry) time.Duration { return 5 * time.Second }
+
+// fleetRegistry is the registry of a daemon of the model.
+type fleetRegistry struct{ registry quarantine.Registry }
+
+func fleetPrompt(parts []string) quarantine.Prompt {
+	return quarantine.NewPrompt(fleetService, parts)
+}
+
+// fleetCrash is the crash of a target as the slot owner learns of it.
+type fleetCrash struct {
+	parts       []string
+	request     string
+	incarnation string
+	events      int           // of the attempt
+	age         time.Duration // of the attempt
+}
+
+// promptOutcome returns what an attempt that has ended shows about its prompt. began tells whether an earlier attempt of the
+// same item got beyond maxCrashEvents.
+func promptOutcome(events int, complete, _ bool) (sound, suspect bool) {
+	sound = complete || events > maxCrashEvents
+
+	return sound, !sound
+}
+
+func (r *fleetRegistry) find(parts []string, now time.Time) (quarantine.Entry, bool) {
+	return r.registry.Find(fleetPrompt(parts), now)
+}
+
+// findGranted is the check of a daemon after its request was granted a slot.
+func (r *fleetRegistry) findGranted(parts []string, _ bool, now time.Time) (quarantine.Entry, bool) {
+	return r.registry.Find(fleetPrompt(parts), now)
+}
+
+// admit returns the entry that rejects a request at the slot owner, and whether the request is a trial.
+func (r *fleetRegistry) admit(parts []string, request string, now time.Time) (e quarantine.Entry, rejected, trial bool) {
+	e, rejected = r.registry.Admit(fleetPrompt(parts), request, now)
+
+	return e, rejected, false
+}
+
+// endTrial ends a trial that has no result.
+func (r *fleetRegistry) endTrial([]string, string, time.Time) {}
+
+// markSound returns the entries whose quarantine ends or is narrowed.
+func (r *fleetRegistry) markSound(parts []string, now time.Time) []quarantine.Entry {
+	return r.registry.MarkSound(fleetPrompt(parts), now)
+}
+
+// suspects returns the parts that a daemon reports to the slot owner after a crash.
+func (r *fleetRegistry) suspects(parts []string, now time.Time) []string {
+	return r.registry.Suspects(fleetPrompt(parts), now).Parts()
+}
+
+// addCrash returns the entries whose quarantine starts.
+func (r *fleetRegistry) addCrash(c fleetCrash, now time.Time) []quarantine.Entry {
+	return r.registry.AddCrash(fleetPrompt(c.parts), c.incarnation, now)
+}
+
+func (r *fleetRegistry) entries(now time.Time) []quarantine.Entry { return r.registry.Entries(now) }
+
+// fleetHeartbeat is what a heartbeat carries of a registry.
+type fleetHeartbeat struct{ entries []quarantine.Entry }
+
+func (r *fleetRegistry) export(now time.Time) fleetHeartbeat {
+	return fleetHeartbeat{entries: r.registry.Entries(now)}
+}
+
+// merge takes over a heartbeat and returns the entries that were new.
+func (r *fleetRegistry) merge(h fleetHeartbeat, now time.Time) []quarantine.Entry {
+	var l []quarantine.Entry
+
+	for _, e := range h.entries {
+		if r.registry.Import(e, now) {
+			l = append(l, e)
+		}
+	}
+
+	return l
+}
