Log why nothing works on open batch items

Change: internal/batch/waiting has the reasons for which an item has no attempt at a target, and decides which changes are worth a line. The runner makes a pass over its open items every 0.5 s: item_waiting after a second without an attempt, on a new reason, and after 10, 20, 40 and 80 s; job_waiting every 5 s with the counts by reason; job_runner when a daemon starts or stops running a job, with the reason. Lines go through the daemon's limiter. The counter item_waits has the reasons, the dump has the counts and the 64 items that have waited for the longest time.

Volume and cost under load were not measured.

--- a/batches/activate.go
+++ b/batches/activate.go
@@ -16,7 +16,7 @@
 
 	u, ok := r.items[k]
 	if !ok {
-		u = &runningItem{jobID: v.ID(), item: i, cancel: func() {}, failedAttempts: v.FailedAttempts(i.ID()), runID: rand.Uint64()}
+		u = &runningItem{jobID: v.ID(), item: i, cancel: func() {}, failedAttempts: v.FailedAttempts(i.ID()), runID: rand.Uint64(), wait: newWaitState(now)}
 		r.items[k] = u
 	}
 
@@ -43,10 +43,13 @@
 	}
 
 	if u.place, u.active = r.places.Take(service, u.unproductive, now); !u.active {
+		u.wait.refusePlace(now)
+
 		return nil
 	}
 
 	u.startedAfter = u.lastEvent
+	u.wait.start(now)
 
 	return u
 }
--- a/batches/handover.go
+++ b/batches/handover.go
@@ -72,7 +72,7 @@
 				u := &runningItem{
 					jobID: q.Job, item: i, cancel: func() {}, text: p.Text, lastEvent: p.Last, failedAttempts: p.Fails,
 					active: p.Ended, eventEnds: []eventEnd{{event: p.Last, offset: len(p.Text)}}, runID: rand.Uint64(),
-					parentRunID: p.Onto, parentEvent: p.Last,
+					parentRunID: p.Onto, parentEvent: p.Last, wait: newWaitState(r.clock()),
 				}
 				r.items[k] = u
 
--- a/batches/item.go
+++ b/batches/item.go
@@ -15,19 +15,22 @@
 // runningItem is the state of an item on the daemon that runs its job, over all attempts of the item there. Runner.mu
 // guards the fields before mu, retryDelay and retryAt.
 type runningItem struct {
-	jobID     string
-	item      batch.Item
-	cancel    context.CancelFunc // ends the current attempt
-	active    bool               // an attempt is in progress or the result is being published
-	published bool               // the result is published
-	finished  bool               // there is a result, which may not be published yet
-	failed    bool               // the result is that the item failed
-	reason    string             // of the failure
-	place     places.Place       // while an attempt is in progress
+	jobID      string
+	item       batch.Item
+	cancel     context.CancelFunc // ends the current attempt
+	active     bool               // an attempt is in progress or the result is being published
+	published  bool               // the result is published
+	finished   bool               // there is a result, which may not be published yet
+	failed     bool               // the result is that the item failed
+	reason     string             // of the failure
+	finishedAt time.Time          // when there was a result
+	place      places.Place       // while an attempt is in progress
 
 	startedAfter int  // last event before the current attempt
 	unproductive bool // the last attempt received no event
 
+	wait waitState
+
 	mu             sync.Mutex
 	text           []byte     // data of the events so far, separated by line feeds
 	runID          uint64     // run of the events that this daemon receives; random
--- a/batches/runner.go
+++ b/batches/runner.go
@@ -10,6 +10,7 @@
 	"github.com/agategap/agategap/batch"
 	"github.com/agategap/agategap/filter"
 	"github.com/agategap/agategap/internal/batch/places"
+	"github.com/agategap/agategap/internal/batch/waiting"
 	"github.com/agategap/agategap/mesh"
 	"github.com/agategap/agategap/outcome"
 	"github.com/agategap/agategap/routing"
@@ -77,15 +78,19 @@
 	logger  zerolog.Logger
 
 	promptParts func(header map[string][]string) []string
+	waits       waiting.Tracker
+	lines       LineLimiter
+	waitCounter WaitCounter
 
 	mu            sync.Mutex
-	items         map[string]*runningItem // by job and item
-	runCtx        context.Context         //nolint:containedctx // of Run, for publishing results of adopted jobs
-	adoptedJobs   map[string]bool         // jobs that a leaving daemon handed over to this one
-	unroutedSince map[string]time.Time    // by job, when its route was first found missing
-	unpublished   map[int]int             // number of results that wait for the log, by partition
-	routesVersion int64                   // of the last pass
-	routesChanged chan struct{}           // closed and replaced when a pass finds another version
+	items         map[string]*runningItem          // by job and item
+	attempts      map[*filter.Request]*runningItem // attempts in progress
+	runCtx        context.Context                  //nolint:containedctx // of Run, for publishing results of adopted jobs
+	adoptedJobs   map[string]bool                  // jobs that a leaving daemon handed over to this one
+	unroutedSince map[string]time.Time             // by job, when its route was first found missing
+	unpublished   map[int]int                      // number of results that wait for the log, by partition
+	routesVersion int64                            // of the last pass
+	routesChanged chan struct{}                    // closed and replaced when a pass finds another version
 	leaving       bool
 	wg            sync.WaitGroup
 	runTime       runTimeEstimator
@@ -96,9 +101,9 @@
 func NewRunner(b *Batches, h filter.Handler, t Routes, p Peers, c PeerClient, clock func() time.Time, z zerolog.Logger) *Runner {
 	return &Runner{
 		batches: b, chain: h, routes: t, peers: p, client: c, clock: clock, logger: z,
-		items: map[string]*runningItem{}, runCtx: context.Background(), adoptedJobs: map[string]bool{}, unroutedSince: map[string]time.Time{},
+		items: map[string]*runningItem{}, attempts: map[*filter.Request]*runningItem{}, runCtx: context.Background(), adoptedJobs: map[string]bool{}, unroutedSince: map[string]time.Time{},
 		unpublished: map[int]int{}, routesChanged: make(chan struct{}), places: places.New(maxActiveItems),
-		promptParts: func(map[string][]string) []string { return nil },
+		promptParts: func(map[string][]string) []string { return nil }, lines: allLines{}, waitCounter: noWaitCounter{},
 	}
 }
 
@@ -122,6 +127,7 @@
 	r.mu.Unlock()
 
 	r.wg.Go(func() { r.saveProgress(x) })
+	r.wg.Go(func() { r.watchWaits(x) })
 
 	for x.Err() == nil {
 		r.reconcile(x)
@@ -188,7 +194,7 @@
 		}
 
 		for _, v := range p.replica.OpenJobs() {
-			if r.shouldRun(p, v, now) {
+			if r.noteRun(p, v, now) {
 				r.startJob(ctx, t, v, now)
 			}
 		}
@@ -216,31 +222,6 @@
 	return r.routesChanged
 }
 
-// shouldRun reports whether this daemon runs a job of a partition. The daemon that accepted the job runs it while it is
-// live and follows the partition, and otherwise the first of the candidates; a daemon that adopted the job runs it in
-// any case. A daemon may not follow the partition of a job that it accepted: it may have dropped the partition while
-// the append of the job was in flight.
-func (r *Runner) shouldRun(p *partition, v batch.View, now time.Time) bool {
-	self := r.peers.Self()
-
-	r.mu.Lock()
-	adopted, leaving := r.adoptedJobs[v.ID()], r.leaving
-	r.mu.Unlock()
-
-	switch w := v.Runner(); {
-	case leaving:
-		return false
-	case adopted, w.VM() == self.VM && w.Start() == self.Start:
-		return true
-	case r.peers.IsRunning(w.VM(), w.Start(), now) && !r.peers.HasStoppedFollowing(w.VM(), p.number, v.AcceptedAt().Add(unfollowGracePeriod)):
-		return false
-	default:
-		l := r.peers.RunnerCandidates(p.number, v.ID(), now)
-
-		return len(l) > 0 && l[0].VM == self.VM
-	}
-}
-
 // stopClosedItems cancels and removes the items that can no longer get a result.
 func (r *Runner) stopClosedItems() {
 	r.mu.Lock()
@@ -340,6 +321,7 @@
 
 	route, ok := t.Match(v.Host(), v.Path())
 	if !ok || route.Kind() != routing.Batch {
+		r.noteNoRoute(u)
 		r.retryLater(u, maxItemRetryDelay)
 
 		return
@@ -352,7 +334,9 @@
 		WithRouteCheck(func() bool { return r.isRoutedTo(v, u.item.ID(), route) }, r.nextRoutes)
 	s := &itemSink{item: u, runTime: &r.runTime, lastEventAt: now}
 
+	r.startAttempt(u, q)
 	err := r.chain.Handle(x, q, s)
+	r.endAttempt(u, q, s.status, err)
 
 	switch {
 	case err == nil && s.status == statusOK:
@@ -436,7 +420,7 @@
 		Str("reason", reason).Msg("publishing the result of an item")
 
 	r.mu.Lock()
-	u.finished, u.reason = true, reason
+	u.finished, u.reason, u.finishedAt = true, reason, r.clock()
 	u.failed = !v.IsCompleted()
 	u.place.Release()
 
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -123,7 +123,8 @@
 	followers := batches.NewFollowers(table)
 	d.runner = batches.NewRunner(
 		d.batches, filter.ItemChain(holder, time.Now, w, workers), &d.routes, jobPeers{Table: table, Followers: followers}, d.client, time.Now, d.logger).
-		WithPromptParts(platform.PromptParts)
+		WithPromptParts(platform.PromptParts).WithWaitReports(&d.logLimiter, d.metrics)
+	w.items = d.runner
 	gateway := batches.NewGateway(d.batches, followers, table, peerClient{client: d.client}, d.logger)
 
 	front := platform.NewFrontend(filter.RoutedChain(&d.routes.Current, shutdownOf{d}, holder, time.Now, w, workers), &d.routes, gateway, time.Now)
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/agategap/agategap/filter"
+	"github.com/agategap/agategap/internal/batch/waiting"
 	"github.com/agategap/agategap/logging"
 	"github.com/agategap/agategap/outcome"
 )
@@ -17,6 +18,7 @@
 	metrics  *metrics
 	limiter  *logging.Limiter
 	inFlight *logging.InFlight
+	items    filter.Watcher // of the steps of batch items; set before the daemon runs
 }
 
 func newStepWatcher(z zerolog.Logger, m *metrics, b *logging.Limiter, f *logging.InFlight) *stepWatcher {
@@ -27,6 +29,7 @@
 func (w *stepWatcher) Watch(r *filter.Request, s filter.Step) {
 	w.metrics.recordStep(r, s)
 	w.trackInFlight(r, s)
+	w.items.Watch(r, s)
 
 	kind := s.Name() + " " + r.Class().String()
 	ordinary := s.Err() == nil && s.Attempt() <= 1
@@ -103,11 +106,38 @@
 	return map[string]any{"live": d.mesh.Table().LivePeers(time.Now()), "known": d.mesh.Table().KnownPeers(time.Now())}
 }
 
-// dumpJobs returns the numbers of jobs and results in the replicas, and the number of items active at this daemon.
+// maxDumpedItems bounds the items that wait in a dump; those that have waited for the longest time are kept.
+const maxDumpedItems = 64
+
+// dumpJobs returns the numbers of jobs and results in the replicas, the number of items active at this daemon, and why
+// items wait.
 func (d *RoutedDaemon) dumpJobs() any {
 	j, r := d.batches.Count()
 
-	return map[string]any{"jobs": j, "results": r, "running": d.runner.ActiveItems()}
+	l, c := d.runner.Waits(maxDumpedItems)
+	now := time.Now()
+	counts, items := map[string]int{}, []map[string]any{}
+
+	for _, v := range waiting.Reasons() {
+		if n := c.Of(v); n > 0 {
+			counts[v.String()] = n
+		}
+	}
+
+	for _, i := range l {
+		k := i.Cause()
+		items = append(items, map[string]any{
+			"job": i.Job(), "item": i.ID(), "reason": k.Reason().String(), "reason_age_ms": now.Sub(k.Since()).Milliseconds(),
+			"idle_ms": now.Sub(i.IdleSince()).Milliseconds(), "code": k.Code(), "error": k.Message(),
+		})
+	}
+
+	return map[string]any{"jobs": j, "results": r, "running": d.runner.ActiveItems(), "waiting": counts, "longest": items}
+}
+
+// CountItemWait counts an item that waits, by reason.
+func (m *metrics) CountItemWait(reason string) {
+	m.scope.Tagged(map[string]string{"reason": reason}).Counter("item_waits").Inc(1)
 }
 
 // dumpQuarantine returns the combinations of parts of prompts that are quarantined, with the seconds that remain.
--- a/imports_test.go
+++ b/imports_test.go
@@ -17,6 +17,7 @@
 	"outcome", "finding", "shard", "filter", "config", "answers", "journal", "appender", "snapshot", "lease", "job",
 	"sched", "balance", "retry", "member", "drain", "place", "routing", "fleet", "pool", "batch", "stream",
 	"internal/serve/patience", "internal/serve/quarantine", "internal/serve/urgency", "internal/model/load", "internal/model/fleet",
+	"internal/batch/places", "internal/batch/waiting",
 }
 
 // platformWireNames are header names, paths, topics and fields of the platform's wire format.
--- a/internal/cmd/cmd_explain.go
+++ b/internal/cmd/cmd_explain.go
@@ -129,8 +129,9 @@
 	"peer_lost", "peer_live", "target", "target_gone", "config", "log_reads", "log_gap", "append_failed", "started", "stopped", "lines_left_out",
 }
 
-// explain prints the records about an identifier in order of time, marked with an asterisk, and the state changes of
-// the same daemons shortly before and after them. Changes of targets that were not involved are left out.
+// explain prints the records about an identifier in order of time, marked with an asterisk, those about the job of an item
+// and about the quarantine of its parts, and the state changes of the same daemons shortly before and after them. Changes
+// of targets that were not involved are left out.
 func explain(e Env, id string, files []string) error {
 	var all, path []logLine
 
@@ -162,6 +163,8 @@
 		return nil
 	}
 
+	path = append(path, relatedLines(all, path, id)...)
+
 	sortByTime := func(l []logLine) { sort.SliceStable(l, func(i, j int) bool { return l[i].at.Before(l[j].at) }) }
 	sortByTime(path)
 
@@ -203,6 +206,50 @@
 	return nil
 }
 
+// quarantineEvents are the events about parts of prompts that targets crash under.
+var quarantineEvents = []string{"prompt_quarantined", "quarantine_narrowed"}
+
+// relatedLines returns the records of all daemons about the jobs of the item with an identifier, but not about other items
+// of these, and those about a quarantine of parts that a record of the path names.
+func relatedLines(all, path []logLine, id string) []logLine {
+	jobs, parts := map[string]bool{}, map[string]bool{}
+
+	for _, l := range path {
+		if fieldString(l.fields["item"]) == id {
+			jobs[fieldString(l.fields["job"])] = true
+		}
+
+		for _, p := range l.parts() {
+			parts[p] = true
+		}
+	}
+
+	var related []logLine
+
+	for _, l := range all {
+		ofJob := jobs[fieldString(l.fields["job"])] && fieldString(l.fields["item"]) == "" && fieldString(l.fields["job"]) != ""
+		ofParts := slices.Contains(quarantineEvents, l.event) && slices.ContainsFunc(l.parts(), func(p string) bool { return parts[p] })
+
+		if (ofJob || ofParts) && !l.concerns(id) {
+			related = append(related, l)
+		}
+	}
+
+	return related
+}
+
+// parts returns the parts of prompts that the record names.
+func (l logLine) parts() []string {
+	a, _ := l.fields["parts"].([]any)
+
+	var s []string
+	for _, p := range a {
+		s = append(s, fieldString(p))
+	}
+
+	return s
+}
+
 // details returns the target of the request if it was in flight, otherwise all fields that have no column of their own.
 func (l logLine) details(id string) string {
 	var s []string
