soak: cold workers are slower; report which parts are quarantined

Cause: a response is young only for the first events. With 40 ms between two events of a cold worker few attempts were young at a crash. Own parts of prompts that crash workers could equal the shared part of another client (caller-1 and 0).

Change: a cold worker takes 150 ms for an event. Own parts have a prefix. The report counts the quarantined parts by what they are.

--- a/soak/open.go
+++ b/soak/open.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 )
 
@@ -73,7 +75,7 @@
 		}
 	}
 
-	last := map[string]itemLine{}
+	last, quarantines := map[string]itemLine{}, []itemLine{}
 
 	files, err := filepath.Glob(filepath.Join(dir, "*.log"))
 	if err != nil {
@@ -81,11 +83,16 @@
 	}
 
 	for _, f := range files {
-		if err := readItemLines(f, last); err != nil {
+		l, err := readItemLines(f, last)
+		if err != nil {
 			return nil, err
 		}
+
+		quarantines = append(quarantines, l...)
 	}
 
+	x.countQuarantines(quarantines)
+
 	counts := map[string]int{}
 
 	for id, deadly := range open {
@@ -97,6 +104,25 @@
 	return counts, nil
 }
 
+// countQuarantines counts the parts of prompts that daemons have quarantined by themselves. An own part of a prompt with
+// deadlyPart counts as deadly, too.
+func (x *jobClients) countQuarantines(lines []itemLine) {
+	items := x.deadlyItems()
+
+	for _, l := range lines {
+		kind := "sound"
+
+		for _, p := range l.Parts {
+			own, _ := hex.DecodeString(p) // other parts are not encoded
+			if p == deadlyPart || items[string(own)] || strings.HasPrefix(string(own), ownPrefix) {
+				kind = "deadly"
+			}
+		}
+
+		x.recorder.Count("quarantines, part " + kind)
+	}
+}
+
 // itemLine has those fields of a line of a daemon's log that tell what was decided about an item.
 type itemLine struct {
 	Time    time.Time `json:"time"`
@@ -105,6 +131,8 @@
 	Request string    `json:"request"`
 	Code    string    `json:"code"`
 	Error   string    `json:"error"`
+	Parts   []string  `json:"parts"`
+	Peer    string    `json:"peer"`
 }
 
 func (l itemLine) reason() string {
@@ -120,14 +148,18 @@
 	}
 }
 
-// readItemLines reads a daemon's log and keeps the newest line of each item or request. It skips lines that are not JSON.
-func readItemLines(path string, last map[string]itemLine) error {
+// readItemLines reads a daemon's log and keeps the newest line of each item or request. It returns the lines on the parts
+// of prompts that this daemon has quarantined, without those that it has taken over from others, and skips lines that are
+// not JSON.
+func readItemLines(path string, last map[string]itemLine) ([]itemLine, error) {
 	f, err := os.Open(path) //nolint:gosec // a log of this soak
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer func() { _ = f.Close() }()
 
+	var quarantines []itemLine
+
 	s := bufio.NewScanner(f)
 	s.Buffer(nil, maxLogLine)
 
@@ -137,6 +169,10 @@
 			continue
 		}
 
+		if l.Event == "prompt_quarantined" && l.Peer == "" {
+			quarantines = append(quarantines, l)
+		}
+
 		id := l.Item
 		if id == "" {
 			id = l.Request
@@ -147,7 +183,7 @@
 		}
 	}
 
-	return s.Err()
+	return quarantines, s.Err()
 }
 
 // maxLogLine is the length of the longest line of a log that is read, in bytes.
--- a/soak/prompt.go
+++ b/soak/prompt.go
@@ -25,6 +25,8 @@
 	// maxDeadlyAttempts is the number of times that such a client sends a prompt, deadlyRetryDelay apart.
 	maxDeadlyAttempts = 4
 	deadlyRetryDelay  = 100 * time.Millisecond
+	// ownPrefix starts the own parts of these prompts, so that no shared part is the same.
+	ownPrefix = "own-"
 	// deadlyJobShare is the share of jobs with deadly items in a phase of them. Such a job has one or two.
 	deadlyJobShare = 0.5
 )
@@ -67,7 +69,7 @@
 	return len(p.drawn) > 0
 }
 
-// encodePrompt returns the Prompt-Prefix header with the parts that a prompt shares with others of its route and of its
+// encodePrompt returns the header value with the parts that a prompt shares with others of its route and of its
 // client, a third shared part, and its own part.
 func encodePrompt(route, client, third, own string) string {
 	return fmt.Sprintf("%x:100,%x:80,%s:50,%x:20", route, client, third, own)
@@ -144,7 +146,7 @@
 			route = "once"
 		}
 
-		prompt := encodePrompt(route, client, deadlyPart, fmt.Sprint(client, n))
+		prompt := encodePrompt(route, client, deadlyPart, fmt.Sprint(ownPrefix, client, "-", n))
 
 		for range maxDeadlyAttempts {
 			if !x.deployment.prompts.isDeadly(DeadlyOnline) || ctx.Err() != nil {
--- a/soak/report.go
+++ b/soak/report.go
@@ -69,8 +69,9 @@
 
 // WriteText writes a summary as one line, followed by a line for each broken promise.
 func (r Report) WriteText(w io.Writer) error {
-	if _, err := fmt.Fprintf(w, "seed %d: %d faults, %d requests served, %d jobs accepted, %d promises broken\n",
-		r.Seed, len(r.Faults), r.Counts["answer 200"], r.Counts["job 202"], len(r.Broken)); err != nil {
+	if _, err := fmt.Fprintf(w, "seed %d: %d faults, %d requests served, %d jobs accepted, %d deadly and %d sound parts quarantined, %d promises broken\n",
+		r.Seed, len(r.Faults), r.Counts["answer 200"], r.Counts["job 202"], r.Counts["quarantines, part deadly"], r.Counts["quarantines, part sound"],
+		len(r.Broken)); err != nil {
 		return err
 	}
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -98,8 +98,9 @@
 	c.verify(ctx)
 	c.checkBudget(s)
 
+	open, err := s.openDeadlyItems(o.Dir)
 	v := newReport(o, l, j)
-	v.Open, err = s.openDeadlyItems(o.Dir)
+	v.Open = open
 
 	return v, err
 }
--- a/standin/worker/crash.go
+++ b/standin/worker/crash.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// coldFactor is the factor on the time before each event of a cold worker.
-const coldFactor = 4
+// coldFactor is the factor on the time before each event of a cold worker. Responses stay young long enough there for
+// another crash.
+const coldFactor = 15
 
 // outage is the state of a worker whose process has crashed or has started again lately.
 type outage struct {
