integration: show a cleared part that other daemons keep quarantined

One way: three workers crash for other reasons under two prompts with a sound shared part, the slot owner quarantines the part, and all daemons import it. A response on it then clears it at its own daemon and at the owner only. The other daemons reject items and requests with the part for 2 min, and so get no response that would clear it there.

Change: a stand-in worker crashes on command, resets or ends each connection at its own moment, is slow after a start, and no longer runs requests that waited for a slot at the crash; the defaults stay. OnCrash is called before the responses are aborted, as the listener of a process that crashes closes with its connections. crashFleet starts workers again as new instances, and keeps what the daemons log. No change of the program.

--- a/integration/deployment_test.go
+++ b/integration/deployment_test.go
@@ -96,6 +96,9 @@
 	cmd     *exec.Cmd
 	address string        // address that the process printed; empty if none was expected
 	exited  chan struct{} // closed when the process has exited
+
+	mu    sync.Mutex
+	lines []string // the first maxOutputLines of the output
 }
 
 // startProcess starts the executable with args and kills the process at the end of the test. Unless marker is empty, it
@@ -120,6 +123,8 @@
 
 	go func() {
 		for s := bufio.NewScanner(o); s.Scan(); {
+			p.keepLine(s.Text())
+
 			select {
 			case lines <- s.Text():
 			default:
@@ -171,6 +176,7 @@
 	engineProxies []*proxy.Proxy // one in front of each engine
 	services      []*process     // one plain service in each failure domain
 	daemons       []*daemonProcess
+	logLevel      string                        // of the daemons with the routed interface
 	registrations map[string]store.Registration // by target ID; writeRegistrations writes them to the platform
 	dir           string                        // for settings and configurations
 }
--- a/integration/routed_test.go
+++ b/integration/routed_test.go
@@ -43,7 +43,14 @@
 func newRoutedDeployment(t *testing.T, daemons, workers int) *routedDeployment {
 	t.Helper()
 
-	s := &routedDeployment{deployment: &deployment{t: t, dir: t.TempDir()}, store: store.New(store.Options{Seed: 1})}
+	return newLoggingDeployment(t, daemons, workers, "error")
+}
+
+// newLoggingDeployment is like newRoutedDeployment, with daemons that log at a level.
+func newLoggingDeployment(t *testing.T, daemons, workers int, level string) *routedDeployment {
+	t.Helper()
+
+	s := &routedDeployment{deployment: &deployment{t: t, dir: t.TempDir(), logLevel: level}, store: store.New(store.Options{Seed: 1})}
 
 	h := httptest.NewServer(s.store.Handler())
 	t.Cleanup(h.CloseClientConnections)
@@ -102,8 +109,8 @@
 	}
 
 	text := fmt.Sprintf("vm = %q\nfailure_domain = \"a\"\nregion = \"r\"\ninterface = \"routed\"\ncaller_address = %q\noperator_address = %q\n"+
-		"peer_address = %q\npeers = [%q]\nplatform = %q\npeer_keys = [%q]\nlog_level = \"error\"\ndrain_wait = \"300ms\"\ndrain_most = \"10s\"\n",
-		n.vm, n.callerAddress, n.operatorAddress, n.peerAddress, seed, n.platformProxy.Address(), peerKey)
+		"peer_address = %q\npeers = [%q]\nplatform = %q\npeer_keys = [%q]\nlog_level = %q\ndrain_wait = \"300ms\"\ndrain_most = \"10s\"\n",
+		n.vm, n.callerAddress, n.operatorAddress, n.peerAddress, seed, n.platformProxy.Address(), peerKey, s.logLevel)
 	if err := os.WriteFile(n.settingsPath, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -23,8 +23,11 @@
 	Events int           // number of events of each response
 	Gap    time.Duration // time before each event
 
-	// OnCrash is called at each crash. It has to close the connections of the worker. It may be nil, and then only the
-	// responses that are under way are aborted.
+	ColdTime time.Duration // time after New for which the worker is slow
+	ColdGap  time.Duration // time before each event during ColdTime
+
+	// OnCrash is called at each crash, before the responses that are under way are aborted. It has to make the worker
+	// refuse connections, or close all of them. It may be nil, and then only the responses are aborted.
 	OnCrash func()
 }
 
@@ -38,6 +41,9 @@
 	Leaving    string `json:"leaving"`     // value of the header field Server-Leaving in all responses; none if empty
 	Impossible string `json:"impossible"`  // requests whose body contains this text fail with status 422
 	Deadly     string `json:"deadly"`      // the worker crashes when it begins the response to a prompt with this part
+
+	CrashReset    bool `json:"crash_reset"`     // a crash resets the connections of responses instead of ending them; it needs ConnContext
+	CrashSpreadMS int  `json:"crash_spread_ms"` // each response is aborted at a random time up to this after a crash
 }
 
 // Run is one run of a request that got a slot, as returned by GET /control/runs.
@@ -53,6 +59,7 @@
 type Worker struct {
 	options Options
 	slots   chan struct{}
+	start   time.Time
 
 	mu      sync.Mutex
 	faults  Faults
@@ -64,7 +71,7 @@
 
 // New returns a worker without faults.
 func New(o Options) *Worker {
-	return &Worker{options: o, slots: make(chan struct{}, o.Slots), crashed: make(chan struct{})}
+	return &Worker{options: o, slots: make(chan struct{}, o.Slots), start: time.Now(), crashed: make(chan struct{})}
 }
 
 // Crashes returns the number of crashes so far.
@@ -75,18 +82,21 @@
 	return k.crashes
 }
 
-// crash aborts all responses that are under way and calls Options.OnCrash.
-func (k *Worker) crash() {
+// Crash calls Options.OnCrash and aborts all responses that are under way.
+func (k *Worker) Crash() {
 	k.mu.Lock()
 	k.crashes++
-
-	close(k.crashed)
-	k.crashed = make(chan struct{})
 	k.mu.Unlock()
 
 	if k.options.OnCrash != nil {
 		k.options.OnCrash()
 	}
+
+	k.mu.Lock()
+	defer k.mu.Unlock()
+
+	close(k.crashed)
+	k.crashed = make(chan struct{})
 }
 
 // nextCrash returns a channel that is closed at the next crash.
@@ -164,7 +174,9 @@
 		return
 	}
 
-	if !k.acquireSlot(r) {
+	crashed := k.nextCrash()
+
+	if !k.acquireSlot(r, crashed) {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 
@@ -173,7 +185,7 @@
 	defer func() { <-k.slots }()
 
 	if r.Context().Err() == nil {
-		k.streamEvents(w, r, id, string(b))
+		k.streamEvents(w, r, id, string(b), crashed)
 	}
 }
 
@@ -185,8 +197,8 @@
 }
 
 // acquireSlot waits for a slot and reports whether it got one. It gets none if the queue is full or the client
-// disconnects while it waits.
-func (k *Worker) acquireSlot(r *http.Request) bool {
+// disconnects while it waits. It aborts the response if the worker crashes while the request waits.
+func (k *Worker) acquireSlot(r *http.Request, crashed <-chan struct{}) bool {
 	select {
 	case k.slots <- struct{}{}:
 		return true
@@ -212,10 +224,20 @@
 
 	select {
 	case k.slots <- struct{}{}:
-		return true
+	case <-crashed:
+		panic(http.ErrAbortHandler)
 	case <-r.Context().Done():
 		return false
 	}
+
+	select {
+	case <-crashed:
+		<-k.slots
+
+		panic(http.ErrAbortHandler)
+	default:
+		return true
+	}
 }
 
 // startRun records a run and applies the fault BreakAfter to it. It returns the run, the injected faults, and the event
@@ -243,9 +265,8 @@
 }
 
 // streamEvents writes the response to a request that has a slot, from the event after the Last-Event-Id header on.
-func (k *Worker) streamEvents(w http.ResponseWriter, r *http.Request, id, body string) {
+func (k *Worker) streamEvents(w http.ResponseWriter, r *http.Request, id, body string, crashed <-chan struct{}) {
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	crashed := k.nextCrash()
 	v, f, abortAfter := k.startRun(id, after)
 
 	w.Header().Set("Server-Signature", k.options.ID+"."+id)
@@ -270,14 +291,14 @@
 
 	if hasPart(r.Header, f.Deadly) {
 		flush(w)
-		k.crash()
+		k.Crash()
 	}
 
 	for n := after + 1; n <= k.options.Events; n++ {
 		select {
-		case <-time.After(k.options.Gap):
+		case <-time.After(k.gap()):
 		case <-crashed:
-			panic(http.ErrAbortHandler)
+			abortCrashed(r, f)
 		case <-r.Context().Done():
 			return
 		}
@@ -304,6 +325,15 @@
 	k.mu.Unlock()
 }
 
+// gap returns the time before the next event.
+func (k *Worker) gap() time.Duration {
+	if time.Since(k.start) < k.options.ColdTime {
+		return k.options.ColdGap
+	}
+
+	return k.options.Gap
+}
+
 func flush(w http.ResponseWriter) { _ = http.NewResponseController(w).Flush() }
 
 // EncodeEvent returns event n of the response to a request as it is sent in the event stream. Events are counted from
