--- a/integration/crash_fleet_test.go
+++ b/integration/crash_fleet_test.go
@@ -224,6 +224,14 @@
 	b.Crash()
 }
 
+// instances returns all instances so far.
+func (f *crashFleet) instances() []*workerBoot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return append([]*workerBoot(nil), f.boots...)
+}
+
 // running returns the seat that runs the request with an ID and the events that this run has sent, or nil.
 func (f *crashFleet) running(id string) (*workerSeat, int) {
 	for _, s := range f.seats {
