quarantine: jobs with parts of their own, slow detection and repeated handovers

Change: the model draws items that share a part with their job only, crashes that a daemon sees up to 800 ms late, and ownership that moves five times within 5 s.

--- a/internal/serve/quarantine/fleet_model_test.go
+++ b/internal/serve/quarantine/fleet_model_test.go
@@ -235,6 +235,10 @@
 		f.restart(f.daemons[f.random.IntN(len(f.daemons))])
 	case "handover":
 		f.handOver(f.random.IntN(len(f.daemons)))
+	case "handovers":
+		for range 5 {
+			f.after(between(f.random, 0, 5*time.Second), func() { f.handOver(f.random.IntN(len(f.daemons))) })
+		}
 	}
 }
 
--- a/internal/serve/quarantine/fleet_property_test.go
+++ b/internal/serve/quarantine/fleet_property_test.go
@@ -196,7 +196,7 @@
 	}
 
 	rapid.Check(t, func(t *rapid.T) {
-		f := runFleet(drawScenario(t, "one", "half", "all", "series", "restart", "handover"))
+		f := runFleet(drawScenario(t, "one", "half", "all", "series", "restart", "handover", "handovers"))
 
 		m, ok := f.failures[p]
 		if !ok {
--- a/internal/serve/quarantine/fleet_scenario_test.go
+++ b/internal/serve/quarantine/fleet_scenario_test.go
@@ -11,7 +11,7 @@
 // fault is an impairment of the fleet.
 type fault struct {
 	at   time.Duration
-	kind string // one, half, all and series crash targets; restart and handover concern daemons
+	kind string // one, half, all and series crash targets; restart, handover and handovers concern daemons
 }
 
 func (v fault) String() string { return fmt.Sprintf("%s at %s", v.kind, v.at) }
@@ -27,6 +27,8 @@
 	furtherParts     int
 	crashingParts    int
 	crashingPercent  int  // share of the prompts that have a part that crashes targets
+	hasJobParts      bool // the items of a job have a part that no other prompt has
+	detectsSlowly    bool // daemons see some crashes late
 	hasPause         bool // the second half of the jobs, requests and faults comes after all parts have ceased to count as sound
 	faults           []fault
 }
@@ -53,6 +55,8 @@
 		furtherParts:    rapid.IntRange(0, 6).Draw(t, "furtherParts"),
 		crashingParts:   rapid.IntRange(0, 2).Draw(t, "crashingParts"),
 		crashingPercent: rapid.IntRange(1, 40).Draw(t, "crashingPercent"),
+		hasJobParts:     rapid.Bool().Draw(t, "jobParts"),
+		detectsSlowly:   rapid.Bool().Draw(t, "detectsSlowly"),
 		hasPause:        rapid.IntRange(0, 4).Draw(t, "pause") == 4,
 	}
 	n := rapid.IntRange(0, 10).Draw(t, "faults")
@@ -90,7 +94,12 @@
 		route, caller := r.IntN(s.routes), r.IntN(s.callers)
 
 		for i := j; i < s.items; i += s.jobs {
-			l = append(l, &task{id: fmt.Sprintf("item%d", i), batch: true, arrived: at, length: 20 + r.IntN(60), parts: s.sharedParts(r, route, caller)})
+			t := &task{id: fmt.Sprintf("item%d", i), batch: true, arrived: at, length: 20 + r.IntN(60), parts: s.sharedParts(r, route, caller)}
+			if s.hasJobParts {
+				t.parts = append(t.parts, fmt.Sprint("job", j))
+			}
+
+			l = append(l, t)
 		}
 	}
 
--- a/internal/serve/quarantine/fleet_target_test.go
+++ b/internal/serve/quarantine/fleet_target_test.go
@@ -14,6 +14,8 @@
 	slowStartPeriod = 5 * time.Second
 	// maxCrashDetection is the time after which all daemons have seen that a target has crashed.
 	maxCrashDetection = 50 * time.Millisecond
+	// maxSlowDetection is the same where a crash shows only as silence.
+	maxSlowDetection = 800 * time.Millisecond
 	// maxRegistrationDelay is the time after its start until which a target has the registration of its last incarnation.
 	maxRegistrationDelay = 2 * time.Second
 )
@@ -137,7 +139,13 @@
 	for _, t := range slices.Clone(g.running) {
 		t.received = t.attemptEvents(f.now)
 		t.generation++
-		f.continueAfter(t, between(f.random, 0, maxCrashDetection), func() { f.breakOff(t) })
+
+		detection := maxCrashDetection
+		if f.scenario.detectsSlowly && f.random.IntN(4) == 0 {
+			detection = maxSlowDetection
+		}
+
+		f.continueAfter(t, between(f.random, 0, detection), func() { f.breakOff(t) })
 	}
 
 	f.after(between(f.random, minTargetDowntime, maxTargetDowntime), func() {
--- a/internal/serve/quarantine/main_test.go
+++ b/internal/serve/quarantine/main_test.go
@@ -7,11 +7,11 @@
 )
 
 // TestMain fixes the seed of the property tests, so that CI runs are repeatable, and bounds the time to shrink a failure. For
-// more runs, use go test ./internal/serve/quarantine -rapid.checks 1000 -rapid.seed N.
+// more runs and shorter traces, use go test ./internal/serve/quarantine -rapid.checks 1000 -rapid.seed N -rapid.shrinktime 20s.
 func TestMain(m *testing.M) {
 	flag.Parse()
 
-	for n, v := range map[string]string{"rapid.seed": "20261205", "rapid.shrinktime": "2s", "rapid.nofailfile": "true"} {
+	for n, v := range map[string]string{"rapid.seed": "20261205", "rapid.shrinktime": "100ms", "rapid.nofailfile": "true"} {
 		if f := flag.Lookup(n); f.Value.String() == f.DefValue {
 			_ = f.Value.Set(v)
 		}
