--- a/internal/serve/quarantine/fleet_adapter_test.go
+++ b/internal/serve/quarantine/fleet_adapter_test.go
@@ -28,11 +28,12 @@
 
 // fleetCrash is the crash of a target as the slot owner learns of it.
 type fleetCrash struct {
-	parts       []string
-	request     string
-	incarnation string
-	events      int           // of the attempt
-	age         time.Duration // of the attempt
+	parts   []string
+	request string
+	target  string
+	start   int           // number of the incarnation of the target, as its registration tells
+	events  int           // of the attempt
+	age     time.Duration // of the attempt
 }
 
 // promptOutcome returns what an attempt that has ended shows about its prompt. began tells whether an earlier attempt of the
@@ -74,7 +75,15 @@
 
 // addCrash returns the entries whose quarantine starts.
 func (r *fleetRegistry) addCrash(c fleetCrash, now time.Time) []quarantine.Entry {
-	return r.registry.AddCrash(fleetPrompt(c.parts), c.incarnation, now)
+	n := quarantine.NewCrash(c.target, int64(c.start)).WithAttempt(c.request, c.events, c.age)
+
+	var l []quarantine.Entry
+
+	for _, d := range r.registry.AddCrash(fleetPrompt(c.parts), n, now) {
+		l = append(l, d.Entry())
+	}
+
+	return l
 }
 
 func (r *fleetRegistry) entries(now time.Time) []quarantine.Entry { return r.registry.Entries(now) }
--- a/internal/serve/quarantine/fleet_task_test.go
+++ b/internal/serve/quarantine/fleet_task_test.go
@@ -243,7 +243,7 @@
 	case suspect:
 		c := fleetCrash{
 			parts: d.registry.suspects(t.parts, f.clock()), request: t.request, events: n, age: f.now - t.sentAt,
-			incarnation: fmt.Sprintf("%s/%d", t.target.name, t.target.incarnation),
+			target: t.target.name, start: t.target.incarnation,
 		}
 
 		for _, o := range owners {
