--- a/soak/crash.go
+++ b/soak/crash.go
@@ -8,6 +8,8 @@
 )
 
 const (
+	// coldGap is the time before each event of a cold worker. Responses stay young long enough there for another crash.
+	coldGap = 15 * eventInterval
 	// coldTime is the time after the start of a worker's process for which the worker is slow.
 	coldTime = 1500 * time.Millisecond
 	// deadlyDowntime is the time after which a worker that a prompt has crashed is back.
@@ -28,8 +30,8 @@
 	}
 }
 
-// crash crashes the worker. It returns false if the worker is down already.
-func (t *proxiedWorker) crash(v proxy.CrashView) bool {
+// goDown ends the connections of the worker as a crash does. It returns false if the worker is down already.
+func (t *proxiedWorker) goDown(v proxy.CrashView) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
@@ -39,7 +41,6 @@
 
 	t.downFrom = time.Now()
 	t.proxy.Crash(v)
-	t.worker.Crash()
 
 	return true
 }
@@ -49,7 +50,7 @@
 	t := w.workers[i]
 
 	t.mu.Lock()
-	t.worker.Restart(coldTime)
+	t.worker.Restart()
 	err := t.proxy.Restart()
 	t.born, t.downFrom = time.Now().UnixMilli(), time.Time{}
 	t.mu.Unlock()
@@ -72,7 +73,9 @@
 	var down []int
 
 	for _, i := range l {
-		if j.deployment.workers[i].crash(crashView(f.kind, i)) {
+		if t := j.deployment.workers[i]; t.goDown(crashView(f.kind, i)) {
+			t.worker.Crash()
+
 			down = append(down, i)
 		}
 	}
@@ -88,11 +91,11 @@
 	return err
 }
 
-// crashUnderPrompt handles a prompt that crashes worker i: it crashes the worker, records the crash as a fault, and
-// starts the worker again after deadlyDowntime.
+// crashUnderPrompt handles a crash of worker i that was not injected but caused by a prompt: it ends the connections of
+// the worker, records the crash as a fault, and starts the worker again after deadlyDowntime.
 func (j *injector) crashUnderPrompt(i int) {
 	t := j.deployment.workers[i]
-	if !t.crash(crashView(DeadlyCrash, i+t.worker.Crashes())) {
+	if !t.goDown(crashView(DeadlyCrash, i+t.worker.Crashes())) {
 		return
 	}
 
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -84,8 +84,8 @@
 	version int  // of the published configuration
 	stopped bool // no daemon is started any more
 
-	prompts       promptPlan
-	onDeadlyCrash func(worker int) // called when a worker crashes under a prompt; set before there is load
+	prompts promptPlan
+	onCrash func(worker int) // called when a worker crashes; set before there is load
 }
 
 // serve serves a stand-in on a loopback address and returns the address. close ends it.
@@ -152,7 +152,8 @@
 func (w *deployment) addWorker(i int) error {
 	t := &proxiedWorker{id: fmt.Sprint("worker-", i), state: "ready"}
 	t.worker = worker.New(worker.Options{
-		ID: t.id, Slots: workerSlots, Queue: workerQueue, Events: eventCount, Gap: eventInterval, OnCrash: func() { w.onDeadlyCrash(i) },
+		ID: t.id, Slots: workerSlots, Queue: workerQueue, Events: eventCount, Gap: eventInterval,
+		ColdTime: coldTime, ColdGap: coldGap, OnCrash: func() { w.onCrash(i) },
 	})
 	t.worker.SetFaults(worker.Faults{Deadly: deadlyPart})
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -48,7 +48,7 @@
 	l := NewRecorder()
 	j := &injector{deployment: w, recorder: l}
 	c := newCallers(w, j, l)
-	w.onDeadlyCrash = j.crashUnderPrompt
+	w.onCrash = j.crashUnderPrompt
 	s := &jobClients{deployment: w, injector: j, recorder: l}
 
 	x, stop := context.WithCancel(ctx)
--- a/standin/worker/crash.go
+++ b/standin/worker/crash.go
@@ -1,51 +1,38 @@
 package worker
 
-import "time"
-
-// coldFactor is the factor on the time before each event of a cold worker. Responses stay young long enough there for
-// another crash.
-const coldFactor = 15
-
-// outage is the state of a worker whose process has crashed or has started again lately.
-type outage struct {
-	down      bool
-	coldUntil time.Time // the worker is slow until then; zero if it never crashed
-}
-
-// Crash ends the process of the worker, as SIGKILL does. No request runs until Restart, also none that has waited for a
-// slot.
-func (k *Worker) Crash() {
-	k.mu.Lock()
-	k.outage.down = true
-
-	close(k.crashed)
-	k.crashed = make(chan struct{})
-	k.mu.Unlock()
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+)
+
+type connKey struct{}
+
+// ConnContext adds the connection of a request to its context. It is for http.Server.ConnContext.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
 }
 
-// Restart starts the process again after Crash. The worker is cold, and therefore slow, for a time.
-func (k *Worker) Restart(cold time.Duration) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-
-	k.outage = outage{coldUntil: time.Now().Add(cold)}
-}
+// abortCrashed aborts a response after a crash, in the form that the injected faults state. Without ConnContext, the
+// connection is ended and not reset.
+func abortCrashed(r *http.Request, f Faults) {
+	if f.CrashSpreadMS > 0 {
+		time.Sleep(time.Duration(rand.IntN(f.CrashSpreadMS)) * time.Millisecond) //nolint:gosec // no secret
+	}
 
-func (k *Worker) isDown() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
+	if c, ok := r.Context().Value(connKey{}).(*net.TCPConn); ok && f.CrashReset {
+		_ = c.SetLinger(0)
+	}
 
-	return k.outage.down
+	panic(http.ErrAbortHandler)
 }
 
-// eventGap returns the time before the next event of a response.
-func (k *Worker) eventGap() time.Duration {
+// Restart starts the worker again after a crash, so that it is slow for Options.ColdTime. Its runs are kept.
+func (k *Worker) Restart() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 
-	if time.Now().Before(k.outage.coldUntil) {
-		return coldFactor * k.options.Gap
-	}
-
-	return k.options.Gap
+	k.start = time.Now()
 }
