filter: do not suspect a prompt whose response began in an earlier attempt

Callers saw items of accepted jobs that nothing worked on.

A prompt that crashes targets never gets beyond its first events. An attempt with more of them now clears the request and the item for their later attempts. Relay also tells the slot as soon as the fourth event has arrived, and whether a request was sent.

--- a/batches/item.go
+++ b/batches/item.go
@@ -38,6 +38,7 @@
 	parentEvent    int        // last event of the parent run before it
 	eventEnds      []eventEnd // ends of events in text, from the last saved event on
 	lastEvent      int
+	began          bool // an attempt got more than filter.MaxCrashEvents events
 	failedAttempts int
 	retryDelay     time.Duration // before the next attempt
 	retryAt        time.Time     // earliest start of the next attempt
@@ -56,6 +57,14 @@
 	}
 }
 
+// hasBegun reports whether the response to an attempt here got beyond its beginning.
+func (u *runningItem) hasBegun() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+
+	return u.began
+}
+
 // discardEvents discards the events of the item, so that its next attempt starts from the first one. The caller holds
 // mu.
 func (u *runningItem) discardEvents() {
@@ -71,6 +80,7 @@
 	item        *runningItem
 	status      int // HTTP status of the response
 	runTime     *runTimeEstimator
+	events      int       // of the attempt
 	lastEventAt time.Time // arrival of the last event, or start of the attempt
 }
 
@@ -110,6 +120,8 @@
 
 		u.text = append(u.text, e.Text()...)
 		u.lastEvent = e.Index()
+		s.events++
+		u.began = u.began || s.events > filter.MaxCrashEvents
 		u.eventEnds = append(u.eventEnds, eventEnd{event: u.lastEvent, offset: len(u.text)})
 
 		now := time.Now()
--- a/batches/runner.go
+++ b/batches/runner.go
@@ -58,8 +58,10 @@
 	// failed.
 	minItemRetryDelay = 20 * time.Millisecond
 	maxItemRetryDelay = time.Second
-	// quarantineRetryDelay is the delay before the next attempt of an item whose prompt has a quarantined part.
-	quarantineRetryDelay = 5 * time.Second
+	// minQuarantineRetryDelay and maxQuarantineRetryDelay bound the delay before the next attempt of an item whose prompt
+	// has a quarantined part. An item has to ask often to get its turn in the trials of the quarantine.
+	minQuarantineRetryDelay = time.Second
+	maxQuarantineRetryDelay = 2 * time.Second
 	// deadlineMargin is added to the deadline of a job before its items are failed, as the clocks of VMs differ.
 	deadlineMargin = 5 * time.Second
 	// routeGracePeriod is how long the route of a job has to be missing before its items are failed. It outlasts the
@@ -330,7 +332,7 @@
 	k := filter.NewCall(post, v.Host(), u.item.Path(), u.item.Header()).WithLastEvent(u.lastEvent)
 	q := filter.NewItemRequest(filter.Input{
 		ID: u.item.ID(), Path: u.item.Path(), Body: u.item.Body(), Call: k, Arrived: now, PromptParts: r.promptParts(u.item.Header()),
-	}, route, v.Due(), deadline).WithRunTime(r.runTime.remaining(u.lastEvent)).
+	}, route, v.Due(), deadline).WithRunTime(r.runTime.remaining(u.lastEvent)).WithBegun(u.hasBegun()).
 		WithRouteCheck(func() bool { return r.isRoutedTo(v, u.item.ID(), route) }, r.nextRoutes)
 	s := &itemSink{item: u, runTime: &r.runTime, lastEventAt: now}
 
@@ -349,7 +351,7 @@
 	case filter.IsPreempted(err):
 		r.retryLater(u, 0)
 	case outcome.Is(err, outcome.Quarantined):
-		r.retryLater(u, quarantineRetryDelay)
+		r.retryLater(u, min(maxQuarantineRetryDelay, max(minQuarantineRetryDelay, outcome.From(err).RetryAfter())))
 	default:
 		r.retryLater(u, min(maxItemRetryDelay, max(minItemRetryDelay, 2*u.retryDelay))) //nolint:mnd // exponential
 	}
--- a/filter/call.go
+++ b/filter/call.go
@@ -106,6 +106,15 @@
 	return &c
 }
 
+// WithBegun returns a copy of an item's request that says whether the response to an earlier attempt had more than
+// MaxCrashEvents events.
+func (r *Request) WithBegun(began bool) *Request {
+	c := *r
+	c.began = began
+
+	return &c
+}
+
 // WithRouteCheck returns a copy of an item's request that is sent to a target only if isCurrent reports that the routes
 // in force still send the item to the same service. An item may wait for a slot for much longer than a version of the
 // routes stays in force, so the wait ends if isCurrent no longer does. changed returns a channel that is closed after the
--- a/filter/model.go
+++ b/filter/model.go
@@ -134,6 +134,7 @@
 	complete   bool
 	fault      pool.Fault
 	prompt     PromptOutcome
+	sent       bool
 }
 
 // PromptOutcome is what an attempt shows about the parts of its prompt.
@@ -197,6 +198,16 @@
 // Prompt returns what the attempt shows about the parts of its prompt; only Relay sets it.
 func (o Observation) Prompt() PromptOutcome { return o.prompt }
 
+// WithSent returns a copy that says whether the request may have reached the target.
+func (o Observation) WithSent(sent bool) Observation {
+	o.sent = sent
+
+	return o
+}
+
+// IsSent reports whether the request may have reached the target; only Relay sets it.
+func (o Observation) IsSent() bool { return o.sent }
+
 // OK reports whether the attempt ended without a failure of the target.
 func (o Observation) OK() bool { return o.ok }
 
--- a/filter/relay.go
+++ b/filter/relay.go
@@ -61,7 +61,7 @@
 	d, stop := context.WithDeadline(ctx, r.Deadline())
 	defer stop()
 
-	x := &relayState{relay: f, request: r, sink: s, next: next, lastEvent: r.LastEvent()}
+	x := &relayState{relay: f, request: r, sink: s, next: next, lastEvent: r.LastEvent(), began: r.began}
 
 	err := x.run(d)
 	if err != nil && x.mayHaveRun {
@@ -87,6 +87,7 @@
 	runs       int      // number of attempts that may have run
 	refusals   int      // number of attempts that did not run
 	excluded   []string // targets of failed attempts
+	began      bool     // an attempt has shown that the prompt does not crash targets
 	newConn    bool     // an attempt got no response in time, so that kept-alive connections are no longer used
 }
 
@@ -178,6 +179,9 @@
 	return x.request.Route().Repeatable() && n < x.request.Route().Attempts()
 }
 
+// promptMarker is a slot that takes the news that a response got beyond its beginning before the slot is released.
+type promptMarker interface{ MarkPromptSound() }
+
 // runAttempt sends the request to the target of a slot, passes the response on and releases the slot.
 func (x *relayState) runAttempt(ctx context.Context, t Slot) error {
 	c, stop := context.WithCancelCause(ctx)
@@ -209,6 +213,10 @@
 			events++
 		}
 
+		if m, ok := t.(promptMarker); ok && events == MaxCrashEvents+1 && e.Kind() == Chunk {
+			m.MarkPromptSound()
+		}
+
 		return x.emit(e)
 	}))
 
@@ -227,7 +235,9 @@
 	}
 
 	t.Release(NewObservation(0, 0, x.relay.clock().Sub(start), events, err == nil).WithFault(observedFault(c, err)).
-		WithPrompt(promptOutcome(c, events, a.IsSent(), err)))
+		WithSent(a.IsSent()).WithPrompt(promptOutcome(c, events, a.IsSent(), x.began, err)))
+
+	x.began = x.began || events > MaxCrashEvents
 
 	return err
 }
@@ -282,12 +292,13 @@
 const MaxCrashEvents = 3
 
 // promptOutcome returns what an attempt with context c shows about its prompt. Attempts that this daemon ended show
-// nothing unless more than MaxCrashEvents have arrived, nor do those that a target ended which still accepts connections.
-func promptOutcome(c context.Context, events int, sent bool, err error) PromptOutcome {
+// nothing unless more than MaxCrashEvents have arrived, nor do those that a target ended which still accepts connections,
+// nor does a crash if an earlier attempt began, as a prompt that crashes targets never gets that far.
+func promptOutcome(c context.Context, events int, sent, began bool, err error) PromptOutcome {
 	switch {
 	case events > MaxCrashEvents, events > 0 && err == nil:
 		return PromptSound
-	case sent && c.Err() == nil && errors.Is(err, ErrTargetCrashed):
+	case !began && sent && c.Err() == nil && errors.Is(err, ErrTargetCrashed):
 		return PromptSuspect
 	default:
 		return PromptUntested
--- a/filter/request.go
+++ b/filter/request.go
@@ -79,6 +79,7 @@
 	newConn         bool
 	lastEvent       int
 	due             time.Time
+	began           bool // an attempt of the item had more than MaxCrashEvents events
 	runTime         time.Duration
 	waited          time.Duration // time for which the caller had waited when the request arrived; 0 if unknown
 	daemonAge       time.Duration
