quarantine: single trials that the jobs can bear, and clearances for all daemons

Callers saw items of accepted jobs that nothing worked on until the end, and requests with sound parts that some daemons rejected for two minutes.

Causes: a quarantine, once decided, held for 2 min whatever was seen since, longer than any job has; a response that showed a part to be sound ended the quarantine at its own daemon and at the slot owner only, while the daemons that had imported it rejected the requests that could have shown it to them; crashes were known to one slot owner only, so that another one counted from zero; crashes caused by a known part counted against the prompts beside it.

A quarantine now lasts until a trial clears it. One request at a time tries the parts, first after 2 s, then at least every 6 s for an item that waits; items take turns. Two trials follow the fifth crash, then none, which keeps one of the three requests that the platform accepts in reserve. A trial goes before batch work and is not preempted. Heartbeats carry clearances and the latest crashes under shared parts. Items always ask the owner, which has to know who waits.

--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -142,13 +142,13 @@
 	m.scope.Tagged(map[string]string{"reason": reason}).Counter("item_waits").Inc(1)
 }
 
-// dumpQuarantine returns the combinations of parts of prompts that are quarantined, with the seconds that remain.
+// dumpQuarantine returns the combinations of parts of prompts that are quarantined, with the seconds until the next trial.
 func (d *RoutedDaemon) dumpQuarantine() any {
 	l := []map[string]any{}
 
 	for _, e := range d.quarantine.Entries() {
 		l = append(l, map[string]any{
-			"service": e.Service(), "parts": e.Parts(), "remaining_s": int(e.Remaining().Seconds()), "strikes": e.Strikes(),
+			"service": e.Service(), "parts": e.Parts(), "next_trial_s": int(e.Remaining().Seconds()), "crashes": e.Crashes(), "trials": e.Trials(),
 		})
 	}
 
--- a/internal/serve/quarantine/crash.go
+++ b/internal/serve/quarantine/crash.go
@@ -20,23 +20,37 @@
 
 // Crash is the crash of a target that ended an attempt of a request when the response began.
 type Crash struct {
-	target  string
-	start   int64
-	request string
-	events  int
-	age     time.Duration
+	target      string
+	start       int64
+	slotRequest string
+	request     string
+	events      int
+	age         time.Duration
 }
 
 // NewCrash returns the crash of a target whose process started at the given Unix millisecond, 0 if that is not known.
 func NewCrash(target string, start int64) Crash { return Crash{target: target, start: start} }
 
-// WithAttempt returns a copy with the identifier of the request, and the events and the age of its attempt at the crash.
-func (c Crash) WithAttempt(request string, events int, age time.Duration) Crash {
-	c.request, c.events, c.age = request, events, age
+// WithAttempt returns a copy with the identifiers of the slot request and of the request, and the events and the age of
+// its attempt at the crash.
+func (c Crash) WithAttempt(slotRequest, request string, events int, age time.Duration) Crash {
+	c.slotRequest, c.request, c.events, c.age = slotRequest, request, events, age
 
 	return c
 }
 
+// SlotRequest returns the identifier of the slot request; empty if it is not known.
+func (c Crash) SlotRequest() string { return c.slotRequest }
+
+// Start returns the start of the target's process in Unix milliseconds; 0 if it is not known.
+func (c Crash) Start() int64 { return c.start }
+
+// Events returns the number of events of the attempt at the crash.
+func (c Crash) Events() int { return c.events }
+
+// Age returns the age of the attempt at the crash.
+func (c Crash) Age() time.Duration { return c.age }
+
 // Target returns the name of the target.
 func (c Crash) Target() string { return c.target }
 
--- a/internal/serve/quarantine/prompt.go
+++ b/internal/serve/quarantine/prompt.go
@@ -50,13 +50,22 @@
 	service   string
 	parts     []string
 	remaining time.Duration
-	strikes   int
+	crashes   int
+	trials    int
+	age       time.Duration
 }
 
-// NewEntry returns the entry of a combination of parts that is quarantined for the remaining time. strikes is the number
-// of its quarantines so far, with this one.
-func NewEntry(service string, parts []string, remaining time.Duration, strikes int) Entry {
-	return Entry{service: service, parts: parts, remaining: remaining, strikes: strikes}
+// NewEntry returns the entry of a combination of parts that no request may try for the remaining time.
+func NewEntry(service string, parts []string, remaining time.Duration) Entry {
+	return Entry{service: service, parts: parts, remaining: remaining}
+}
+
+// WithHistory returns a copy with the number of crashes under the parts so far, the number of trials that count against their
+// limit, and the time since the last crash.
+func (e Entry) WithHistory(crashes, trials int, age time.Duration) Entry {
+	e.crashes, e.trials, e.age = crashes, trials, age
+
+	return e
 }
 
 // Service returns the name of the service.
@@ -68,8 +77,14 @@
 // String returns the identifiers of the parts, separated by plus signs.
 func (e Entry) String() string { return strings.Join(e.parts, "+") }
 
-// Remaining returns the time until the end of the quarantine.
+// Remaining returns the time until a request may try the combination; 0 if one may do so now.
 func (e Entry) Remaining() time.Duration { return e.remaining }
 
-// Strikes returns the number of quarantines of the combination so far, with this one.
-func (e Entry) Strikes() int { return e.strikes }
+// Crashes returns the number of crashes of targets under the parts so far.
+func (e Entry) Crashes() int { return e.crashes }
+
+// Trials returns the number of trials that count against their limit.
+func (e Entry) Trials() int { return e.trials }
+
+// Age returns the time since the last crash.
+func (e Entry) Age() time.Duration { return e.age }
--- a/internal/serve/quarantine/registry.go
+++ b/internal/serve/quarantine/registry.go
@@ -5,6 +5,9 @@
 // got further on the part lately. A prompt that only ran beside the one that crashed its target is told apart by that, and by
 // the numbers of crashes and of different prompts that are needed. Parts that all these prompts have in common are
 // quarantined in combination: a prompt with only some of them is let through, and shows whether those are sound.
+//
+// A quarantine does not end by itself. Single requests try the combination, one at a time, and end the quarantine if
+// their response begins. The number of trials is bounded once the combination has crashed many targets.
 package quarantine
 
 import (
@@ -17,41 +20,12 @@
 )
 
 const (
-	// minCrashes is the number of crashes under a shared part, or under the same prompt, before it is quarantined.
-	minCrashes = 3
-	// minPrompts is the number of different prompts among them that a shared part needs, as a prompt is often sent again
-	// after a crash.
-	minPrompts = 2
-	// crashSpacing is the least time between two crashes of the same incarnation of a target. Requests that end within it
-	// were ended by the same crash.
-	crashSpacing = time.Second
-	// evidencePeriod is the time for which a crash counts, and for which an expired quarantine is remembered.
-	evidencePeriod = 10 * time.Minute
-	// maxCrashes bounds the crashes that are kept of a service. The oldest ones are dropped.
-	maxCrashes = 256
-	// maxCombinations bounds the quarantined combinations of a service. Those that end first are dropped.
+	// maxCombinations bounds the quarantined combinations of a service. Those with the fewest crashes are dropped.
 	maxCombinations = 128
-	// minQuarantine is the length of the first quarantine of a combination. It doubles, up to maxQuarantine, each time
-	// that a target crashes in a trial.
-	minQuarantine = 2 * time.Minute
-	maxQuarantine = time.Hour
-	// maxStrikes bounds the quarantines that are counted. The length has reached maxQuarantine by then.
-	maxStrikes = 16
-	// trialPeriod is the time for which one request tries a combination whose quarantine has expired, while others with
-	// it are still rejected.
-	trialPeriod = 10 * time.Second
-	// minImportPeriod is the least remaining time of a quarantine that is taken over from another daemon. Daemons would
-	// otherwise prolong each other's expiring quarantines by the time of a message.
-	minImportPeriod = time.Second
 	// serviceShardCount is the number of shards of the services.
 	serviceShardCount = 4
 )
 
-// quarantineLength returns the length of the quarantine number n of a combination, counted from 1.
-func quarantineLength(n int) time.Duration {
-	return min(maxQuarantine, minQuarantine<<(min(max(n, 1), maxStrikes)-1))
-}
-
 // Registry keeps which parts of prompts are sound, which targets crashed under which prompts, and which combinations of
 // parts are quarantined. The zero value is empty. It is safe for concurrent use.
 type Registry struct {
@@ -66,38 +40,9 @@
 
 // serviceState is what is known about the prompts of a service.
 type serviceState struct {
-	crashes      []suspectCrash // one for each request that a crash ended
-	lastCrash    int            // number of the last crash
+	evidence     evidence
 	combinations []*combination
-}
-
-// suspectCrash is a crash of a target with the prompt of the attempt that it ended.
-type suspectCrash struct {
-	Crash
-
-	prompt Prompt // without the parts that were known to be sound
-	at     time.Time
-	number int // the same for all requests that one crash ended
-}
-
-// combination is a combination of parts that is or was quarantined.
-type combination struct {
-	parts   []string // sorted
-	until   time.Time
-	strikes int    // number of quarantines
-	trial   string // request that tries the combination until then; empty for none
-}
-
-func (c *combination) isActive(now time.Time) bool { return now.Before(c.until) }
-
-func (c *combination) entry(service string, now time.Time) Entry {
-	return NewEntry(service, c.parts, c.until.Sub(now), c.strikes)
-}
-
-// quarantine starts the next quarantine.
-func (c *combination) quarantine(now time.Time) {
-	c.strikes = min(c.strikes+1, maxStrikes)
-	c.until, c.trial = now.Add(quarantineLength(c.strikes)), ""
+	cleared      []Clearance
 }
 
 // lock locks and returns the shard of a service.
@@ -138,16 +83,30 @@
 		return nil
 	}
 
+	s.evidence.clear(p)
+
+	return r.clear(s, p.service, p.has, now)
+}
+
+// clear removes the parts that are sound from the combinations of a service, and announces that. The caller holds the
+// lock of the service.
+func (r *Registry) clear(s *serviceState, service string, isSound func(id string) bool, now time.Time) []Entry {
 	var l []Entry
 
 	s.combinations = slices.DeleteFunc(s.combinations, func(c *combination) bool {
-		rest := slices.DeleteFunc(slices.Clone(c.parts), p.has)
+		rest := slices.DeleteFunc(slices.Clone(c.parts), isSound)
 		if len(rest) == len(c.parts) {
 			return false
 		}
 
-		if c.isActive(now) {
-			l = append(l, c.entry(p.service, now))
+		l = append(l, c.entry(service, now))
+
+		cleared := slices.DeleteFunc(slices.Clone(c.parts), func(id string) bool { return slices.Contains(rest, id) })
+		s.announce(service, cleared, now)
+
+		// Messages of other daemons may still name the combination.
+		for _, id := range cleared {
+			r.sound.add(service, id, now)
 		}
 
 		c.parts = rest
@@ -155,12 +114,6 @@
 		return len(rest) == 0
 	})
 
-	s.crashes = slices.DeleteFunc(s.crashes, func(c suspectCrash) bool { return c.prompt.own == p.own })
-
-	for i := range s.crashes {
-		s.crashes[i].prompt.shared = slices.DeleteFunc(s.crashes[i].prompt.shared, p.has)
-	}
-
 	return l
 }
 
@@ -171,7 +124,8 @@
 	return p
 }
 
-// AddCrash records that a target crashed when it began the response to a prompt. It returns the quarantines that start.
+// AddCrash records that a target crashed when it began the response to a prompt. It returns the quarantines that start,
+// and those that go on because the crash ended their trial.
 func (r *Registry) AddCrash(p Prompt, n Crash, now time.Time) []Decision {
 	if p.own == "" {
 		return nil
@@ -182,155 +136,124 @@
 
 	s := h.state(p.service)
 
-	for _, c := range s.combinations {
-		if !p.hasAll(c.parts) || !c.isActive(now) && c.strikes == 0 {
-			continue
-		}
-
-		if c.isActive(now) && c.trial == "" {
-			return nil // the request was sent before the quarantine
-		}
-
-		c.quarantine(now)
-
-		return []Decision{{entry: c.entry(p.service, now), rule: FailedTrial, crashes: []Crash{n}}}
+	l, isKnown, isKnownByOwnPart := r.record(s, p, n, now)
+	if isKnown {
+		return l
 	}
 
-	s.addCrash(suspectCrash{Crash: n, prompt: r.Suspects(p, now), at: now})
-
-	var l []Decision
-
 	if parts := r.commonParts(s, p, now); len(parts) > 0 {
-		l = append(l, Decision{entry: s.add(parts, now).entry(p.service, now), rule: SharedPart, crashes: s.crashesWith(parts)})
+		l = append(l, s.quarantine(p.service, parts, SharedPart, now))
+		s.evidence.explainWith(parts)
+		r.clearExplained(s, p.service, now)
+
+		return l
 	}
 
-	if parts := s.repeatedPrompt(p); len(parts) > 0 {
-		l = append(l, Decision{entry: s.add(parts, now).entry(p.service, now), rule: RepeatedPrompt, crashes: s.crashesWith(parts)})
+	if !isKnownByOwnPart && s.evidence.countUnexplained(p.own) >= minCrashes {
+		l = append(l, s.quarantine(p.service, []string{p.own}, RepeatedPrompt, now))
 	}
 
 	return l
 }
 
-// crashesWith returns the crashes under prompts with all of some parts.
-func (s *serviceState) crashesWith(parts []string) []Crash {
-	var l []Crash
+// record records a crash. It returns the quarantines whose trial it has ended, and whether the prompt has a quarantined combination of
+// shared parts, or one with its own part. The caller holds the lock of the service.
+func (r *Registry) record(s *serviceState, p Prompt, n Crash, at time.Time) (l []Decision, isKnown, isKnownByOwnPart bool) {
+	number, isNew := s.evidence.add(suspectCrash{Crash: n, prompt: r.Suspects(p, at), at: at})
 
-	for _, c := range s.crashes {
-		if c.prompt.hasAll(parts) {
-			l = append(l, c.Crash)
+	for _, c := range s.combinations {
+		if !p.hasAll(c.parts) {
+			continue
 		}
-	}
 
-	return l
-}
-
-// addCrash adds a crash and removes those that no longer count.
-func (s *serviceState) addCrash(n suspectCrash) {
-	s.crashes = slices.DeleteFunc(s.crashes, func(c suspectCrash) bool { return n.at.Sub(c.at) >= evidencePeriod })
-	if len(s.crashes) >= maxCrashes {
-		s.crashes = s.crashes[1:]
-	}
+		if slices.Contains(c.parts, p.own) {
+			isKnownByOwnPart = true
+		} else {
+			isKnown = true
+		}
 
-	for _, c := range s.crashes {
-		if c.incarnation() == n.incarnation() && n.at.Sub(c.at) < crashSpacing {
-			n.number = c.number
+		if isNew && c.addCrash(number, n, at) {
+			l = append(l, Decision{entry: c.entry(p.service, at), rule: FailedTrial, crashes: []Crash{n}})
 		}
 	}
 
-	if n.number == 0 {
-		s.lastCrash++
-		n.number = s.lastCrash
+	if isKnown {
+		s.evidence.explain(number)
 	}
 
-	s.crashes = append(s.crashes, n)
+	return l, isKnown, isKnownByOwnPart
 }
 
 // commonParts returns the parts that have caused enough crashes to be quarantined in combination, sorted, if the prompt p
-// has them; nil if there are none. They are a suspect part of p and the parts that are suspect in all crashes under it.
+// has them; nil if there are none.
 func (r *Registry) commonParts(s *serviceState, p Prompt, now time.Time) []string {
-	var common []string
-
-	most := 0
-
-	for _, id := range r.Suspects(p, now).shared {
-		crashes, prompts, n := map[int]bool{}, map[string]bool{}, 0
-
-		var inAll []string
-
-		for _, c := range s.crashes {
-			if !slices.Contains(c.prompt.shared, id) {
-				continue
-			}
+	return s.evidence.commonParts(r.Suspects(p, now).shared, func(o Prompt) []string { return r.Suspects(o, now).shared })
+}
 
-			if n++; n == 1 {
-				inAll = r.Suspects(c.prompt, now).shared
-			}
+// clearExplained ends the quarantines of prompts' own parts whose crashes were caused by prompts with a quarantined
+// combination of shared parts. The caller holds the lock of the service.
+func (r *Registry) clearExplained(s *serviceState, service string, now time.Time) {
+	explained := map[string]bool{}
 
-			inAll = slices.DeleteFunc(inAll, func(o string) bool { return !slices.Contains(c.prompt.shared, o) })
-			crashes[c.number], prompts[c.prompt.own] = true, true
+	for _, c := range s.combinations {
+		if len(c.parts) == 1 && s.evidence.hasPrompt(c.parts[0]) && s.evidence.countUnexplained(c.parts[0]) < minCrashes {
+			explained[c.parts[0]] = true
 		}
+	}
 
-		if len(crashes) >= minCrashes && len(prompts) >= minPrompts && n > most {
-			common, most = inAll, n
-		}
+	if len(explained) > 0 {
+		r.clear(s, service, func(id string) bool { return explained[id] }, now)
 	}
+}
 
-	slices.Sort(common)
+// quarantine starts the quarantine of a combination of sorted parts.
+func (s *serviceState) quarantine(service string, parts []string, rule Rule, now time.Time) Decision {
+	c := s.combination(parts, now)
+	c.ownPart = rule == RepeatedPrompt
 
-	return common
-}
+	crashes, trials := s.evidence.count(parts)
+	c.start(crashes, trials, now)
 
-// repeatedPrompt returns the own part of the prompt p if there were enough crashes under this same prompt; nil otherwise.
-func (s *serviceState) repeatedPrompt(p Prompt) []string {
-	crashes := map[int]bool{}
+	return Decision{entry: c.entry(service, now), rule: rule, crashes: s.evidence.with(parts)}
+}
 
-	for _, c := range s.crashes {
-		if c.prompt.own == p.own {
-			crashes[c.number] = true
+// combination returns the combination of sorted parts, and adds it if needed.
+func (s *serviceState) combination(parts []string, now time.Time) *combination {
+	for _, c := range s.combinations {
+		if slices.Equal(c.parts, parts) {
+			return c
 		}
 	}
 
-	if len(crashes) < minCrashes {
-		return nil
-	}
-
-	return []string{p.own}
-}
-
-// add starts the quarantine of a combination of sorted parts.
-func (s *serviceState) add(parts []string, now time.Time) *combination {
-	i := slices.IndexFunc(s.combinations, func(c *combination) bool { return slices.Equal(c.parts, parts) })
-	if i < 0 {
-		s.drop(now)
+	s.forget(now)
 
-		i = len(s.combinations)
-		s.combinations = append(s.combinations, &combination{parts: parts})
+	if len(s.combinations) >= maxCombinations {
+		least := slices.MinFunc(s.combinations, func(a, b *combination) int {
+			return cmp.Or(cmp.Compare(a.crashes, b.crashes), a.lastCrash.Compare(b.lastCrash))
+		})
+		s.combinations = slices.DeleteFunc(s.combinations, func(c *combination) bool { return c == least })
 	}
 
-	c := s.combinations[i]
-	c.quarantine(now)
+	c := &combination{parts: parts}
+	s.combinations = append(s.combinations, c)
 
 	return c
 }
 
-// drop removes the combinations that expired long ago and, if there are too many, the one that ends first.
-func (s *serviceState) drop(now time.Time) {
-	s.combinations = slices.DeleteFunc(s.combinations, func(c *combination) bool { return now.Sub(c.until) >= evidencePeriod })
-
-	if len(s.combinations) >= maxCombinations {
-		first := slices.MinFunc(s.combinations, func(a, b *combination) int { return a.until.Compare(b.until) })
-		s.combinations = slices.DeleteFunc(s.combinations, func(c *combination) bool { return c == first })
-	}
+// forget removes the combinations whose last crash is too long ago.
+func (s *serviceState) forget(now time.Time) {
+	s.combinations = slices.DeleteFunc(s.combinations, func(c *combination) bool { return c.isForgotten(now) })
 }
 
-// Find returns the quarantined combination that a prompt has, unless it is on trial; false if there is none.
+// Find returns the quarantined combination that a prompt has; false if there is none. Its remaining time is 0 if a request may
+// try it.
 func (r *Registry) Find(p Prompt, now time.Time) (Entry, bool) {
 	h := r.lock(p.service)
 	defer h.mu.Unlock()
 
 	if s, ok := h.services[p.service]; ok {
 		for _, c := range s.combinations {
-			if c.isActive(now) && c.trial == "" && p.hasAll(c.parts) {
+			if p.hasAll(c.parts) && !c.isForgotten(now) {
 				return c.entry(p.service, now), true
 			}
 		}
@@ -339,32 +262,58 @@
 	return Entry{}, false
 }
 
-// Admit is like Find, but starts the trial of combinations whose quarantine has expired: it admits the request that comes
-// first, and no other one until its outcome is known or trialPeriod has passed. The daemon that grants the slots of the
-// service calls it.
-func (r *Registry) Admit(p Prompt, request string, now time.Time) (Entry, bool) {
+// Admit decides about a slot request for a prompt. It admits those without a quarantined combination, and one at a time as
+// a trial of each combination. The daemon that grants the slots of the service calls it.
+func (r *Registry) Admit(p Prompt, a Applicant, now time.Time) Admission {
 	h := r.lock(p.service)
 	defer h.mu.Unlock()
 
 	s, ok := h.services[p.service]
 	if !ok {
-		return Entry{}, false
+		return Admission{}
 	}
 
+	s.forget(now)
+
+	var l []*combination
+
 	for _, c := range s.combinations {
-		switch {
-		case !p.hasAll(c.parts):
-		case !c.isActive(now):
-			c.until, c.trial = now.Add(trialPeriod), request
-		case c.trial != request:
-			return c.entry(p.service, now), true
+		if p.hasAll(c.parts) {
+			l = append(l, c)
 		}
 	}
 
-	return Entry{}, false
+	for _, c := range l {
+		if !c.isReadyFor(a, now) {
+			return Admission{entry: c.entry(p.service, now), rejected: true}
+		}
+	}
+
+	started := false
+
+	for _, c := range l {
+		started = c.startTrial(a, now) || started
+	}
+
+	return Admission{trial: len(l) > 0, started: started}
 }
 
-// Entries returns the quarantined combinations, those with the most time remaining first. It leaves out those on trial.
+// EndTrial ends the trials of a slot request that have shown nothing. sent says whether the request may have reached a
+// target.
+func (r *Registry) EndTrial(service, slotRequest string, sent bool, now time.Time) {
+	h := r.lock(service)
+	defer h.mu.Unlock()
+
+	if s, ok := h.services[service]; ok {
+		for _, c := range s.combinations {
+			if c.trial == slotRequest {
+				c.endTrial(sent, now)
+			}
+		}
+	}
+}
+
+// Entries returns the quarantined combinations, those with the latest crash first.
 func (r *Registry) Entries(now time.Time) []Entry {
 	var l []Entry
 
@@ -374,7 +323,7 @@
 		h.mu.Lock()
 		for n, s := range h.services {
 			for _, c := range s.combinations {
-				if c.isActive(now) && c.trial == "" {
+				if !c.isForgotten(now) {
 					l = append(l, c.entry(n, now))
 				}
 			}
@@ -383,35 +332,46 @@
 	}
 
 	slices.SortFunc(l, func(a, b Entry) int {
-		return cmp.Or(cmp.Compare(b.remaining, a.remaining), cmp.Compare(a.service, b.service), slices.Compare(a.parts, b.parts))
+		return cmp.Or(cmp.Compare(a.age, b.age), cmp.Compare(a.service, b.service), slices.Compare(a.parts, b.parts))
 	})
 
 	return l
 }
 
 // Import takes over the quarantine of a combination from another daemon, without the parts that are known to be sound,
-// unless it is quarantined already. It reports whether it did.
+// which the others are told of. It reports whether that has started a quarantine here.
 func (r *Registry) Import(e Entry, now time.Time) bool {
-	parts := slices.DeleteFunc(slices.Clone(e.parts), func(id string) bool { return r.sound.has(e.service, id, now) })
-	if e.remaining < minImportPeriod || len(parts) == 0 {
+	if e.age > memoryPeriod-minImportPeriod {
 		return false
 	}
 
+	var parts, sound []string
+
+	for _, id := range e.parts {
+		if r.sound.has(e.service, id, now) {
+			sound = append(sound, id)
+		} else {
+			parts = append(parts, id)
+		}
+	}
+
 	slices.Sort(parts)
 
 	h := r.lock(e.service)
 	defer h.mu.Unlock()
 
 	s := h.state(e.service)
-	if slices.ContainsFunc(s.combinations, func(c *combination) bool {
-		return c.isActive(now) && c.trial == "" && slices.Equal(c.parts, parts)
-	}) {
+
+	if len(sound) > 0 && !s.hasAnnounced(sound, now) {
+		s.announce(e.service, sound, now)
+	}
+
+	if len(parts) == 0 {
 		return false
 	}
 
-	c := s.add(parts, now)
-	c.strikes = min(max(c.strikes, e.strikes), maxStrikes)
-	c.until = now.Add(min(e.remaining, maxQuarantine))
+	isNew := !slices.ContainsFunc(s.combinations, func(c *combination) bool { return slices.Equal(c.parts, parts) && !c.isForgotten(now) })
+	s.combination(parts, now).merge(e, now)
 
-	return true
+	return isNew
 }
--- a/internal/serve/quarantine/sound.go
+++ b/internal/serve/quarantine/sound.go
@@ -49,7 +49,9 @@
 		h.until = map[partKey]time.Time{}
 	}
 
-	h.until[k] = now.Add(soundPeriod)
+	if t := now.Add(soundPeriod); t.After(h.until[k]) {
+		h.until[k] = t
+	}
 }
 
 // sweep removes the expired parts, unless it did so lately, and reports whether there is room. The caller holds the lock.
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -8,7 +8,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/agategap/agategap/fleet"
-	"github.com/agategap/agategap/internal/serve/quarantine"
 )
 
 // PeerClient calls net/rpc methods of other daemons.
@@ -24,8 +23,6 @@
 	maxPeersPerMessage = 1024
 	// maxLeavingPerMessage bounds the leaving targets in one message. A rolling release takes a few targets at a time.
 	maxLeavingPerMessage = 256
-	// maxQuarantinedPerMessage bounds the quarantined prompts in one message.
-	maxQuarantinedPerMessage = 128
 	// notifiedOwners is the number of daemons to which NotifyOwners sends a heartbeat: the slot owner of a service and the
 	// daemon that would succeed it.
 	notifiedOwners = 2
@@ -54,23 +51,6 @@
 	Start int64  `msgpack:"start"` // start of its process, Unix milliseconds
 }
 
-// Quarantine has the combinations of parts of prompts that must not get to targets.
-type Quarantine interface {
-	// Entries returns the quarantined combinations, those with the most time remaining first.
-	Entries() []quarantine.Entry
-	// Import takes over a quarantined combination from the daemon of a VM.
-	Import(e quarantine.Entry, vm string)
-}
-
-// QuarantinedPrompt is a combination of parts of the prompts of a service that must not get to targets. It is part of
-// heartbeats.
-type QuarantinedPrompt struct {
-	Service     string   `msgpack:"service"`
-	Parts       []string `msgpack:"parts"`
-	RemainingMS int64    `msgpack:"remaining_ms"` // time until the end of the quarantine
-	Strikes     int      `msgpack:"strikes"`      // number of quarantines of the combination so far
-}
-
 // Heartbeat has the arguments of Mesh.Beat. It is a wire message.
 type Heartbeat struct {
 	From   Peer   `msgpack:"from"`
@@ -84,6 +64,10 @@
 	RouteVersion int64 `msgpack:"route_version"`
 	// Quarantined has the quarantined prompts that the sender knows of.
 	Quarantined []QuarantinedPrompt `msgpack:"quarantined"`
+	// Cleared has the parts of prompts that were cleared lately.
+	Cleared []ClearedParts `msgpack:"cleared"`
+	// Crashes has the latest crashes under prompts with suspect parts.
+	Crashes []SuspectCrash `msgpack:"crashes"`
 }
 
 // HeartbeatReply is the reply of Mesh.Beat. It is a wire message.
@@ -96,6 +80,10 @@
 	RouteVersion int64 `msgpack:"route_version"`
 	// Quarantined has the quarantined prompts that the replying daemon knows of.
 	Quarantined []QuarantinedPrompt `msgpack:"quarantined"`
+	// Cleared has the parts of prompts that were cleared lately.
+	Cleared []ClearedParts `msgpack:"cleared"`
+	// Crashes has the latest crashes under prompts with suspect parts.
+	Crashes []SuspectCrash `msgpack:"crashes"`
 }
 
 // Mesh sends heartbeats to the other daemons and serves theirs as a net/rpc service.
@@ -156,33 +144,6 @@
 	return m
 }
 
-func (m *Mesh) quarantined() []QuarantinedPrompt {
-	if m.quarantine == nil {
-		return nil
-	}
-
-	l := m.quarantine.Entries()
-	l = l[:min(len(l), maxQuarantinedPerMessage)]
-	r := make([]QuarantinedPrompt, 0, len(l))
-
-	for _, e := range l {
-		r = append(r, QuarantinedPrompt{Service: e.Service(), Parts: e.Parts(), RemainingMS: e.Remaining().Milliseconds(), Strikes: e.Strikes()})
-	}
-
-	return r
-}
-
-// importQuarantined takes over the quarantined prompts in a message of the peer with the given VM.
-func (m *Mesh) importQuarantined(l []QuarantinedPrompt, peer string) {
-	if m.quarantine == nil {
-		return
-	}
-
-	for _, q := range l[:min(len(l), maxQuarantinedPerMessage)] {
-		m.quarantine.Import(quarantine.NewEntry(q.Service, q.Parts, time.Duration(q.RemainingMS)*time.Millisecond, q.Strikes), peer)
-	}
-}
-
 // NotifyPeers sends a heartbeat to every live daemon at once. It does not wait for the replies.
 func (m *Mesh) NotifyPeers() {
 	for _, p := range m.table.LivePeers(time.Now()) {
@@ -241,9 +202,10 @@
 	m.table.AddPeer(q.From, now)
 	m.markLeaving(q.Leaving, q.From.VM, now)
 	m.handleVersion(q.From, q.RouteVersion)
-	m.importQuarantined(q.Quarantined, q.From.VM)
+	m.importQuarantined(q.Quarantined, q.Cleared, q.Crashes, q.From.VM)
 
 	a.From, a.Leaving, a.RouteVersion, a.Quarantined = m.table.Self(), m.recentlyLeaving(now), m.routeVersion(), m.quarantined()
+	a.Cleared, a.Crashes = m.cleared(), m.suspectCrashes()
 
 	if q.HeardStart == a.From.Start {
 		m.table.MarkHeard(q.From, q.Digest == d, now)
@@ -314,7 +276,7 @@
 
 	q := Heartbeat{
 		From: self, Digest: m.table.Digest(), HeardStart: m.table.HeardStart(vm, time.Now()), Leaving: m.recentlyLeaving(time.Now()),
-		RouteVersion: m.routeVersion(), Quarantined: m.quarantined(),
+		RouteVersion: m.routeVersion(), Quarantined: m.quarantined(), Cleared: m.cleared(), Crashes: m.suspectCrashes(),
 	}
 
 	if err := m.client.Call(x, address, "Mesh.Beat", q, &a); err != nil {
@@ -329,7 +291,7 @@
 	m.table.MarkReplied(a.From, now)
 	m.markLeaving(a.Leaving, a.From.VM, now)
 	m.handleVersion(a.From, a.RouteVersion)
-	m.importQuarantined(a.Quarantined, a.From.VM)
+	m.importQuarantined(a.Quarantined, a.Cleared, a.Crashes, a.From.VM)
 
 	for _, p := range a.Peers[:min(len(a.Peers), maxPeersPerMessage)] {
 		m.table.AddPeer(p, now)
--- a/slots/holder.go
+++ b/slots/holder.go
@@ -129,10 +129,11 @@
 	}
 
 	p := newPrompt(service, r.PromptParts())
-	q.Parts = p.Parts()
+	q.Parts, q.Request = p.Parts(), r.ID()
 
 	for {
-		if e, ok := h.quarantine.Find(p); ok {
+		// The owner has to know the items that wait for a trial.
+		if e, ok := h.quarantine.Find(p); ok && e.Remaining() > 0 && !q.Batch {
 			return nil, h.quarantinedError(e)
 		}
 
@@ -148,7 +149,7 @@
 		}
 
 		// The prompt may have been quarantined while the request waited.
-		if e, ok := h.quarantine.Find(p); ok {
+		if e, ok := h.quarantine.Find(p); ok && !s.trial {
 			h.release(s, filter.Observation{}.WithFault(pool.Unused))
 
 			return nil, h.quarantinedError(e)
@@ -220,7 +221,7 @@
 			h.withdraw(q, owner, c)
 
 			return nil, &quarantinedPromptError{entry: quarantine.NewEntry(
-				q.Service, a.Quarantined, time.Duration(a.QuarantinedMS)*time.Millisecond, 1)}
+				q.Service, a.Quarantined, time.Duration(a.QuarantinedMS)*time.Millisecond)}
 		}
 
 		if a.Refused {
@@ -238,7 +239,12 @@
 		}
 
 		if target != "" {
-			return h.recordLease(q, owner, target, due), nil
+			q.Batch = q.Batch && !a.Trial
+
+			s := h.recordLease(q, owner, target, due)
+			s.trial = a.Trial
+
+			return s, nil
 		}
 
 		if ctx.Err() != nil {
--- a/slots/lease.go
+++ b/slots/lease.go
@@ -20,6 +20,7 @@
 	expectedEnd time.Time
 	target      filter.Target // set by Acquire
 	request     string        // identifier of the request; set by Acquire
+	trial       bool          // tries quarantined parts of the prompt
 	parts       []string      // of the prompt
 	preempted   chan struct{}
 	preemptOnce sync.Once
@@ -48,15 +49,17 @@
 	delete(k.leases, s.id)
 	k.mu.Unlock()
 
-	q := ReleaseArgs{Service: s.service, ID: s.id, Target: s.targetName, Fault: uint8(v.Fault()), Prompt: uint8(v.Prompt())}
+	q := ReleaseArgs{Service: s.service, ID: s.id, Target: s.targetName, Fault: uint8(v.Fault()), Prompt: uint8(v.Prompt()), Sent: v.IsSent()}
 
 	switch v.Prompt() {
 	case filter.PromptSound:
 		q.Parts = s.parts
 		h.quarantine.MarkSound(newPrompt(s.service, s.parts))
 	case filter.PromptSuspect:
-		q.Parts, q.Start = h.quarantine.Suspects(newPrompt(s.service, s.parts)).Parts(), s.target.Start()
+		p := h.quarantine.Suspects(newPrompt(s.service, s.parts))
+		q.Parts, q.Start = p.Parts(), s.target.Start()
 		q.Request, q.Events, q.AgeMS = s.request, v.Tokens(), v.Total().Milliseconds()
+		h.quarantine.NoteCrash(p, newCrash(q))
 	case filter.PromptUntested:
 	}
 
@@ -67,3 +70,25 @@
 		h.sendRelease(o, q)
 	}
 }
+
+// MarkPromptSound reports that the response got beyond its beginning. The owner is told at once if that is news about the
+// prompt, as a long response ends much later.
+func (s *lease) MarkPromptSound() {
+	h, p := s.holder, newPrompt(s.service, s.parts)
+	isNews := s.trial || len(h.quarantine.Suspects(p).Parts()) > 1
+
+	h.quarantine.MarkSound(p)
+
+	if !isNews {
+		return
+	}
+
+	q := SoundArgs{Service: s.service, Parts: p.Parts()}
+	if s.owner.VM == h.peers.Self().VM {
+		_ = h.owner.Sound(q, nil)
+
+		return
+	}
+
+	go h.sendMessage(s.owner, "Slot.Sound", q)
+}
--- a/slots/message.go
+++ b/slots/message.go
@@ -18,7 +18,8 @@
 	MostMS  int64    `msgpack:"most_ms"`  // expected wait above which the request is refused; 0 if it never is
 	Avoid   []string `msgpack:"avoid"`
 	Prefer  string   `msgpack:"prefer"`
-	Parts   []string `msgpack:"parts"` // identifiers of the parts of the prompt
+	Parts   []string `msgpack:"parts"`   // identifiers of the parts of the prompt
+	Request string   `msgpack:"request"` // identifier of the request, the same for all of its attempts
 }
 
 // AskReply has the target of the granted slot. Target is empty if the request waits or is refused.
@@ -29,6 +30,7 @@
 	// QuarantinedMS; empty if there are none.
 	Quarantined   []string `msgpack:"quarantined"`
 	QuarantinedMS int64    `msgpack:"quarantined_ms"`
+	Trial         bool     `msgpack:"trial"` // the request tries quarantined parts
 }
 
 // WithdrawArgs ends the wait of a slot request.
@@ -52,6 +54,13 @@
 	Start   int64  `msgpack:"start"`
 	Events  int    `msgpack:"events"`
 	AgeMS   int64  `msgpack:"age_ms"`
+	Sent    bool   `msgpack:"sent"` // the request may have reached the target
+}
+
+// SoundArgs says that a response got beyond its beginning on the parts of a prompt.
+type SoundArgs struct {
+	Service string   `msgpack:"service"`
+	Parts   []string `msgpack:"parts"`
 }
 
 // ReportArgs lists all leases of a daemon for one service.
--- a/slots/owner.go
+++ b/slots/owner.go
@@ -11,7 +11,6 @@
 
 	"github.com/agategap/agategap/filter"
 	"github.com/agategap/agategap/fleet"
-	"github.com/agategap/agategap/internal/serve/quarantine"
 	"github.com/agategap/agategap/pool"
 	"github.com/agategap/agategap/shard"
 )
@@ -49,7 +48,7 @@
 }
 
 // Owner grants slots of services. It serves requests for any service, as the holders choose the owner. Its
-// methods Ask, Withdraw, Release and Report are called by net/rpc and by the Holder in the same process. It is safe for
+// methods Ask, Withdraw, Release, Sound and Report are called by net/rpc and by the Holder in the same process. It is safe for
 // concurrent use.
 type Owner struct {
 	client         PeerClient
@@ -136,19 +135,22 @@
 	s := o.servicePool(q.Service)
 	s.setAddress(q.Holder, q.Address)
 
-	if e, ok := o.quarantine.Admit(newPrompt(q.Service, q.Parts), q.ID); ok {
+	n := o.quarantine.Admit(newPrompt(q.Service, q.Parts), newApplicant(q))
+	if e, ok := n.Rejected(); ok {
 		a.Quarantined, a.QuarantinedMS = e.Parts(), max(1, e.Remaining().Milliseconds())
 
 		return nil
 	}
 
+	a.Trial = n.IsTrial()
+
 	select {
 	case o.requested <- struct{}{}:
 	default:
 	}
 
 	c := pool.Online
-	if q.Batch {
+	if q.Batch && !a.Trial { // others wait for the result of a trial, which therefore goes before batch work and is not preempted
 		c = pool.Batch
 	}
 
@@ -176,6 +178,8 @@
 
 // Withdraw ends a slot request that its holder has given up.
 func (o *Owner) Withdraw(q WithdrawArgs, _ *Empty) error {
+	o.quarantine.EndTrial(q.Service, q.ID, false)
+
 	s := o.servicePool(q.Service)
 	o.sendNotices(q.Service, s, s.pool.Withdraw(q.ID, time.Now()), "")
 
@@ -190,9 +194,9 @@
 	case filter.PromptSound:
 		o.quarantine.MarkSound(p)
 	case filter.PromptSuspect:
-		o.quarantine.AddCrash(p, quarantine.NewCrash(q.Target, q.Start).
-			WithAttempt(q.Request, q.Events, time.Duration(q.AgeMS)*time.Millisecond))
+		o.quarantine.AddCrash(p, newCrash(q))
 	case filter.PromptUntested:
+		o.quarantine.EndTrial(q.Service, q.ID, q.Sent)
 	}
 
 	s := o.servicePool(q.Service)
@@ -201,6 +205,13 @@
 	return nil
 }
 
+// Sound records the parts of a prompt on which a response got beyond its beginning. The lease goes on.
+func (o *Owner) Sound(q SoundArgs, _ *Empty) error {
+	o.quarantine.MarkSound(newPrompt(q.Service, q.Parts))
+
+	return nil
+}
+
 // Report reconciles the leases of a holder with the list that it sends.
 func (o *Owner) Report(q ReportArgs, _ *Empty) error {
 	s := o.servicePool(q.Service)
