soak: crashes that follow one item from worker to worker

Change: crash_follow crashes each worker at which one sound item has just begun or resumed, up to four times. It is drawn from a random source of its own.

--- a/soak/crash.go
+++ b/soak/crash.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"strconv"
+	"sync"
 	"time"
 
 	"github.com/agategap/agategap/standin/proxy"
@@ -114,3 +116,68 @@
 		j.injected[record].to = time.Now()
 	})
 }
+
+const (
+	// followInterval is the interval at which the workers are searched for the item that is followed.
+	followInterval = 5 * time.Millisecond
+	// followAge is the age up to which the run of an item is young: two events of a worker that is not cold.
+	followAge = 2 * eventInterval
+	// maxFollowCrashes bounds the crashes under one item.
+	maxFollowCrashes = 4
+	// followDowntime is the time after which such a worker is back.
+	followDowntime = 600 * time.Millisecond
+)
+
+// followItem crashes the worker at which some item of a job without deadlyPart has just begun, and then each worker at
+// which the same item begins or resumes, until the end of the fault. The item causes none of these crashes.
+func (j *injector) followItem(f Fault) error {
+	var (
+		wg       sync.WaitGroup
+		mu       sync.Mutex
+		failures error
+		item     string
+	)
+
+	match := func(id string) bool {
+		return item == "" && j.deployment.prompts.isSoundItem(id) || item != "" && id == item
+	}
+
+	end := time.Now().Add(f.end - f.start)
+
+	for crashes := 0; crashes < maxFollowCrashes && time.Now().Before(end); time.Sleep(followInterval) {
+		for i, t := range j.deployment.workers {
+			age := followAge
+			if item != "" {
+				age = 2 * coldGap // the worker may be cold
+			}
+
+			id := t.worker.YoungRun(match, age)
+			if id == "" || !t.goDown(crashView(f.kind, i+crashes)) {
+				continue
+			}
+
+			t.worker.Crash()
+
+			item = id
+			crashes++
+
+			j.recorder.Count("followed crash " + strconv.Itoa(crashes))
+			wg.Go(func() {
+				time.Sleep(followDowntime)
+
+				err := j.deployment.restartWorker(i)
+
+				mu.Lock()
+				defer mu.Unlock()
+
+				failures = errors.Join(failures, err)
+			})
+
+			break
+		}
+	}
+
+	wg.Wait()
+
+	return failures
+}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -42,6 +42,7 @@
 	CrashEnd      FaultKind = "crash_end"       // a worker crashes, its connections end and new ones are refused
 	CrashSilent   FaultKind = "crash_silent"    // a worker crashes, its connections and new ones stay open and silent
 	CrashMany     FaultKind = "crash_many"      // half of the workers crash at once
+	CrashFollow   FaultKind = "crash_follow"    // workers crash one after another soon after the same item began there
 	DeadlyOnline  FaultKind = "deadly_online"   // clients send requests with a part of a prompt that crashes workers
 	DeadlyItems   FaultKind = "deadly_items"    // some items of the jobs have a part that crashes workers
 	DeadlyCrash   FaultKind = "deadly_crash"    // a worker crashes under such a part; not drawn
@@ -108,6 +109,9 @@
 	{CrashMany, systemScope, 1},
 }
 
+// followFaultKinds has only CrashFollow. It is drawn apart from the others for the same reason.
+var followFaultKinds = []weightedKind{{CrashFollow, systemScope, 1}}
+
 // Fault is one fault of a schedule.
 type Fault struct {
 	kind  FaultKind
@@ -140,6 +144,8 @@
 	// crashWaveShare is the share of soaks in which workers crash crashWaveFactor times as often.
 	crashWaveShare  = 0.3
 	crashWaveFactor = 2
+	// meanFollowFaultInterval is the mean time between two draws of followFaultKinds.
+	meanFollowFaultInterval = 6 * time.Second
 	// deadlyRunShare is the share of soaks with prompts that crash workers.
 	deadlyRunShare = 0.6
 	// meanDeadlyInterval is the mean time before the first phase with such prompts, and between two phases.
@@ -171,7 +177,8 @@
 		drawFaults(source(0), mainFaultKinds, meanFaultInterval, length, daemons, workers),
 		drawFaults(source(1), peerFaultKinds, meanPeerFaultInterval, length, daemons, workers),
 		drawFaults(crashes, crashFaultKinds, crashInterval, length, daemons, workers),
-		drawDeadlyPhases(source(3), length)) //nolint:mnd // number of the source
+		drawFaults(source(4), followFaultKinds, meanFollowFaultInterval, length, daemons, workers), //nolint:mnd // number of the source
+		drawDeadlyPhases(source(3), length))                                                        //nolint:mnd // number of the source
 	slices.SortStableFunc(l, func(a, b Fault) int { return cmp.Compare(a.start, b.start) })
 
 	return l
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -117,6 +117,8 @@
 		j.setStoreFault(f, false)
 	case CrashReset, CrashEnd, CrashSilent, CrashMany:
 		return j.crashWorkers(f, wait)
+	case CrashFollow:
+		return j.followItem(f)
 	case DeadlyOnline, DeadlyItems:
 		w.prompts.setDeadly(f.kind, true)
 		wait()
@@ -371,7 +373,7 @@
 func affectsWorkers(f Fault) bool {
 	switch f.kind {
 	case WorkerCut, WorkerReset, WorkerSilent, WorkerSlow, WorkerBreaks, KillMany,
-		CrashReset, CrashEnd, CrashSilent, CrashMany, DeadlyCrash:
+		CrashReset, CrashEnd, CrashSilent, CrashMany, CrashFollow, DeadlyCrash:
 		return true
 	default:
 		return false
--- a/soak/jobs.go
+++ b/soak/jobs.go
@@ -68,6 +68,7 @@
 		}
 
 		j.prompts, j.deadly = p.items(j, x.deployment.prompts.isDeadly(DeadlyItems))
+		x.deployment.prompts.addItems(j)
 
 		x.mu.Lock()
 		x.jobs = append(x.jobs, j)
--- a/soak/prompt.go
+++ b/soak/prompt.go
@@ -35,6 +35,31 @@
 type promptPlan struct {
 	mu            sync.Mutex
 	active, drawn map[FaultKind]bool // DeadlyOnline and DeadlyItems: now, and at any time so far
+	sound         map[string]bool    // IDs of the items without deadlyPart
+}
+
+// addItems adds the items of a job.
+func (p *promptPlan) addItems(j *job) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if p.sound == nil {
+		p.sound = map[string]bool{}
+	}
+
+	for i := range j.items {
+		if id := j.itemID(i); !j.deadly[id] {
+			p.sound[id] = true
+		}
+	}
+}
+
+// isSoundItem reports whether a run is that of an item without deadlyPart.
+func (p *promptPlan) isSoundItem(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.sound[id]
 }
 
 // setDeadly starts or ends a phase of a kind.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -61,7 +61,7 @@
 			}
 		}
 
-		So(len(kinds), ShouldEqual, 31)
+		So(len(kinds), ShouldEqual, 32)
 		So(overlaps, ShouldBeGreaterThan, len(l)/4)
 		So(series, ShouldBeGreaterThan, len(l)/20)
 	})
--- a/standin/worker/crash.go
+++ b/standin/worker/crash.go
@@ -36,3 +36,18 @@
 
 	k.start = time.Now()
 }
+
+// YoungRun returns the ID of the latest run that match accepts, if it has sent at most one event since it began and no
+// more than maxAge ago; otherwise an empty string.
+func (k *Worker) YoungRun(match func(id string) bool, maxAge time.Duration) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+
+	for i := len(k.runs) - 1; i >= 0 && time.Since(k.runs[i].Start) <= maxAge; i-- {
+		if r := k.runs[i]; match(r.ID) && r.Sent <= r.After+1 {
+			return r.ID
+		}
+	}
+
+	return ""
+}
