--- a/soak/soak.go
+++ b/soak/soak.go
@@ -98,6 +98,10 @@
 	c.verify(ctx)
 	c.checkBudget(s)
 
+	if ctx.Err() != nil {
+		return Report{}, ctx.Err() // the requests of the checks failed because of that
+	}
+
 	open, err := s.openDeadlyItems(o.Dir)
 	v := newReport(o, l, j)
 	v.Open = open
