quarantine: trials that sound prompts can bear, and parts that are cleared for good

The property tests on the model of a fleet showed, on the last commit: - a part cleared because its crashes had another cause counted as sound for a minute, so that daemons cleared its next quarantine again and again: 17 requests with a part that crashes targets after the fifth crash. Such clearances are marked, and do not make a part sound; - crashes of requests sent before a quarantine delayed its first trial; - a trial that waits for a slot held all others back for 10 s; - a lone item that waits held online requests back for 6 s; - late crashes at a new slot owner did not count as trials.

Trials now come 2 s apart, 4 and 12 s after the fifth crash, and a trial without a result gives way after 3 s (10 s after the fifth crash).

The model no longer counts the time for which a prompt is rejected after five crashes and a failed late trial: a trace shows items that lose six young attempts in a row to other crashes, which look the same as prompts that crash targets, for which the budget allows two more trials.

--- a/internal/serve/quarantine/clearance.go
+++ b/internal/serve/quarantine/clearance.go
@@ -13,40 +13,52 @@
 	maxClearances = 64
 )
 
-// Clearance says that parts of prompts that were quarantined are sound.
+// Clearance says that parts of prompts are no longer quarantined.
 type Clearance struct {
-	service string
-	parts   []string
-	at      time.Time
-	age     time.Duration
+	service   string
+	parts     []string
+	explained bool
+	at        time.Time
+	age       time.Duration
 }
 
-// NewClearance returns the clearance of parts of the prompts of a service, some time ago.
+// NewClearance returns the clearance of parts of the prompts of a service on which a response began some time ago.
 func NewClearance(service string, parts []string, age time.Duration) Clearance {
 	return Clearance{service: service, parts: parts, age: age}
 }
 
+// AsExplained returns a copy for parts that are not known to be sound: their crashes have another cause.
+func (c Clearance) AsExplained() Clearance {
+	c.explained = true
+
+	return c
+}
+
+// IsExplained reports whether the parts are not known to be sound.
+func (c Clearance) IsExplained() bool { return c.explained }
+
 // Service returns the name of the service.
 func (c Clearance) Service() string { return c.service }
 
 // Parts returns the identifiers of the parts, which must not be changed.
 func (c Clearance) Parts() []string { return c.parts }
 
-// Age returns the time since a response has shown that the parts are sound.
+// Age returns the time since the clearance.
 func (c Clearance) Age() time.Duration { return c.age }
 
-// announce adds a clearance. The caller holds the lock of the service.
-func (s *serviceState) announce(service string, parts []string, at time.Time) {
+// announce adds a clearance of this time.
+func (s *serviceState) announce(n Clearance, now time.Time) {
 	if len(s.cleared) >= maxClearances {
 		s.cleared = s.cleared[1:]
 	}
 
-	s.cleared = append(s.cleared, Clearance{service: service, parts: parts, at: at})
+	n.at = now
+	s.cleared = append(s.cleared, n)
 }
 
-// hasAnnounced reports whether the other daemons are told at this time that some parts are sound.
-func (s *serviceState) hasAnnounced(parts []string, now time.Time) bool {
-	return slices.ContainsFunc(s.cleared, func(c Clearance) bool { return now.Sub(c.at) < clearancePeriod/2 && slices.Equal(c.parts, parts) }) //nolint:mnd // half
+// hasAnnounced reports whether other daemons are told at this time that a part was cleared.
+func (s *serviceState) hasAnnounced(id string, now time.Time) bool {
+	return slices.ContainsFunc(s.cleared, func(c Clearance) bool { return now.Sub(c.at) < clearancePeriod && slices.Contains(c.parts, id) })
 }
 
 // Clearances returns the parts that were cleared lately, by this daemon or by others.
@@ -60,7 +72,8 @@
 		for _, s := range h.services {
 			s.cleared = slices.DeleteFunc(s.cleared, func(c Clearance) bool { return now.Sub(c.at) >= clearancePeriod })
 			for _, c := range s.cleared {
-				l = append(l, NewClearance(c.service, c.parts, now.Sub(c.at)))
+				c.age = now.Sub(c.at)
+				l = append(l, c)
 			}
 		}
 		h.mu.Unlock()
@@ -78,20 +91,19 @@
 
 	at := now.Add(-c.age)
 
-	for _, id := range c.parts {
-		r.sound.add(c.service, id, at)
-	}
-
 	h := r.lock(c.service)
 	defer h.mu.Unlock()
 
-	s, ok := h.services[c.service]
-	if !ok {
-		return nil
-	}
+	s := h.state(c.service)
 
-	s.evidence.clearParts(c.parts)
+	if !c.explained {
+		for _, id := range c.parts {
+			r.sound.add(c.service, id, at)
+		}
+
+		s.evidence.clearParts(c.parts)
+	}
 
 	// The age passes on with the clearance, so that daemons do not repeat each other's clearances for ever.
-	return r.clear(s, c.service, func(id string) bool { return slices.Contains(c.parts, id) }, at)
+	return s.clear(c, func(id string) bool { return slices.Contains(c.parts, id) }, at)
 }
--- a/internal/serve/quarantine/combination.go
+++ b/internal/serve/quarantine/combination.go
@@ -5,19 +5,24 @@
 )
 
 const (
-	// trialInterval is the time between two trials of the same item with quarantined shared parts. Several items that wait
-	// for a trial share it.
-	trialInterval = 6 * time.Second
-	// minTrialInterval is the least time between two trials, and the time from the start of a quarantine to the first one. Sound
-	// prompts, which were blamed for crashes of another cause, are released soon, even if such crashes end some of their trials.
+	// minTrialInterval is the time from the start of a quarantine to the first trial, and between the first ones. Sound
+	// prompts, which were blamed for crashes of another cause, are released soon, even if such crashes end some trials.
 	minTrialInterval = 2 * time.Second
+	// lateTrialInterval and lastTrialInterval are the times before the trials that follow manyCrashes. The parts are hardly
+	// sound then, but a job bears the sum of all intervals but the last one.
+	lateTrialInterval = 4 * time.Second
+	lastTrialInterval = 12 * time.Second
+	// maxItemPrecedence is the time for which a trial is kept for the items that wait for it.
+	maxItemPrecedence = time.Second
 	// manyCrashes is the number of crashes from which the trials of a combination are counted, and maxTrials bounds
 	// them. The platform expects a part of prompts to be recognized after so many crashes, and accepts three requests
 	// with it afterwards. One is left for a request with only some parts of a combination.
 	manyCrashes = 5
 	maxTrials   = 2
-	// trialPeriod is the time after which a trial without a result gives way to another one.
-	trialPeriod = 10 * time.Second
+	// trialPeriod is the time after which a trial without a result gives way to another one. A response begins, or its
+	// target is given up, within it unless the request waits for a slot. lateTrialPeriod is the same after manyCrashes.
+	trialPeriod     = 3 * time.Second
+	lateTrialPeriod = 10 * time.Second
 	// memoryPeriod is the time after the last crash for which a combination is remembered.
 	memoryPeriod = time.Hour
 	// minImportPeriod is the least time that another daemon has to remember a combination that is taken over.
@@ -32,16 +37,15 @@
 // combination is a combination of parts that is quarantined. The lock of its service guards it.
 type combination struct {
 	parts      []string // sorted
-	ownPart    bool     // a single part that belongs to one prompt alone
 	crashes    int      // of targets under prompts with the parts
 	lastNumber int      // number of the last of these crashes that this daemon knows of
 	lastCrash  time.Time
+	manyAt     time.Time // when crashes reached manyCrashes
 	trials     int       // that were started after manyCrashes
 	nextTrial  time.Time // earliest start of the next trial
 	failedAt   time.Time // end of the last trial, if a crash ended it
 	trial      string    // slot request on trial; empty for none
 	trialUntil time.Time
-	forAnyone  bool               // the last trial had no result, so that the next one need not be an item
 	waiting    map[string]waiting // by request, batch items only
 }
 
@@ -92,6 +96,14 @@
 func (c *combination) start(crashes, trials int, now time.Time) {
 	c.crashes, c.trials, c.lastCrash = max(c.crashes, crashes), max(c.trials, trials), now
 	c.nextTrial = now.Add(minTrialInterval)
+	c.noteMany(now)
+}
+
+// noteMany records when the number of crashes has reached manyCrashes.
+func (c *combination) noteMany(now time.Time) {
+	if c.crashes >= manyCrashes && c.manyAt.IsZero() {
+		c.manyAt = now
+	}
 }
 
 // addCrash counts a crash under a prompt with the parts, and reports whether it has ended a trial.
@@ -99,82 +111,82 @@
 	if number != c.lastNumber {
 		c.lastNumber, c.lastCrash = number, now
 		c.crashes++
+		c.noteMany(now)
 	}
 
 	if c.trial == "" || c.trial != n.slotRequest {
-		// The request was sent before the quarantine, or another daemon has started its trial.
-		if at := now.Add(minTrialInterval); at.After(c.nextTrial) {
-			c.nextTrial = at
+		// Another daemon has started its trial, unless the request was sent before the quarantine.
+		if c.crashes > manyCrashes && now.Sub(c.manyAt) > settlingTime {
+			c.trials++
+			c.failedAt = now
 		}
 
 		return false
 	}
 
-	c.trial, c.forAnyone, c.failedAt = "", false, now
+	c.trial, c.failedAt = "", now
 
 	return true
 }
 
 // interval returns the time to the next trial after a failed one.
-func (c *combination) interval(now time.Time) time.Duration {
-	if c.ownPart {
-		return minTrialInterval
-	}
-
-	n := 0
-
-	for _, w := range c.waiting {
-		if now.Sub(w.askedAt) < waitingPeriod {
-			n++
-		}
-	}
-
-	if n == 0 {
+func (c *combination) interval() time.Duration {
+	switch {
+	case c.crashes < manyCrashes:
 		return minTrialInterval
+	case c.trials == 0:
+		return lateTrialInterval
+	default:
+		return lastTrialInterval
 	}
-
-	return max(minTrialInterval, trialInterval/time.Duration(n))
 }
 
-// hasTrialsLeft reports whether further trials are allowed.
-func (c *combination) hasTrialsLeft() bool { return c.crashes < manyCrashes || c.trials < maxTrials }
+// hasTrialsLeft reports whether further trials are allowed. A trial that is under way, or has timed out, may be replaced.
+func (c *combination) hasTrialsLeft() bool {
+	return c.crashes < manyCrashes || c.trials < maxTrials || c.trial != ""
+}
 
 func (c *combination) isForgotten(now time.Time) bool { return now.Sub(c.lastCrash) >= memoryPeriod }
 
-// remaining returns the time until a request may try the combination.
-func (c *combination) remaining(now time.Time) time.Duration {
+// readyAt returns the earliest start of the next trial.
+func (c *combination) readyAt() time.Time {
+	at := c.nextTrial
+
 	switch {
 	case !c.hasTrialsLeft():
-		return max(0, c.lastCrash.Add(memoryPeriod).Sub(now))
+		return c.lastCrash.Add(memoryPeriod)
 	case c.trial != "":
-		return max(0, c.trialUntil.Sub(now))
-	default:
-		return max(0, c.nextTrial.Sub(now), c.failedAt.Add(c.interval(now)).Sub(now))
+		return c.trialUntil
 	}
+
+	if next := c.failedAt.Add(c.interval()); !c.failedAt.IsZero() && next.After(at) {
+		return next
+	}
+
+	return at
 }
 
+// remaining returns the time until a request may try the combination.
+func (c *combination) remaining(now time.Time) time.Duration { return max(0, c.readyAt().Sub(now)) }
+
 func (c *combination) entry(service string, now time.Time) Entry {
 	return NewEntry(service, c.parts, c.remaining(now)).WithHistory(c.crashes, c.trials, now.Sub(c.lastCrash))
 }
 
 // isReadyFor reports whether a slot request may try the combination now, and records that its request waits for that
-// if not. The trial goes to the item that has waited the longest since its last one, and to other requests while no
-// item waits.
+// if not. The trial goes to the item that has waited the longest since its last one, and to other requests if no item
+// waits or none has come for it.
 func (c *combination) isReadyFor(a Applicant, now time.Time) bool {
 	if c.trial == a.slotRequest {
 		return true
 	}
 
-	own := c.noteWaiting(a, now)
-	if c.remaining(now) > 0 {
+	own, ready := c.noteWaiting(a, now), c.readyAt()
+	if now.Before(ready) {
 		return false
 	}
 
-	if c.trial != "" {
-		c.forAnyone = true // the last trial has timed out
-	}
-
-	if !a.isItem && c.forAnyone {
+	if !a.isItem && now.Sub(ready) >= maxItemPrecedence {
 		return true
 	}
 
@@ -222,11 +234,18 @@
 		return false
 	}
 
-	c.trial, c.trialUntil = a.slotRequest, now.Add(trialPeriod)
+	period := trialPeriod
+
 	if c.crashes >= manyCrashes {
-		c.trials++
+		period = lateTrialPeriod
+
+		if c.trial == "" {
+			c.trials++
+		}
 	}
 
+	c.trial, c.trialUntil = a.slotRequest, now.Add(period)
+
 	if w, ok := c.waiting[a.request]; ok {
 		w.triedAt = now
 		c.waiting[a.request] = w
@@ -237,17 +256,15 @@
 
 // endTrial ends the trial of a slot request that has shown nothing.
 func (c *combination) endTrial(sent bool, now time.Time) {
-	c.trial, c.forAnyone = "", true
-
-	if !sent {
-		if c.crashes >= manyCrashes {
-			c.trials--
-		}
-
-		return
+	c.trial = ""
+	if c.crashes >= manyCrashes {
+		c.trials = max(0, c.trials-1)
 	}
 
-	c.nextTrial = now.Add(minTrialInterval)
+	c.nextTrial = now
+	if sent {
+		c.nextTrial = now.Add(minTrialInterval)
+	}
 }
 
 // merge takes over what another daemon knows about the combination.
@@ -258,8 +275,9 @@
 
 	if e.crashes > c.crashes || e.trials > c.trials {
 		c.crashes, c.trials = max(c.crashes, e.crashes), max(c.trials, e.trials)
+		c.noteMany(now)
 
-		if at := now.Add(min(e.remaining, trialPeriod)); at.After(c.nextTrial) {
+		if at := now.Add(min(e.remaining, lateTrialPeriod)); at.After(c.nextTrial) {
 			c.nextTrial = at
 		}
 	}
--- a/internal/serve/quarantine/fleet_property_test.go
+++ b/internal/serve/quarantine/fleet_property_test.go
@@ -82,11 +82,20 @@
 	}
 }
 
+// isBlamed reports whether targets have crashed under the parts of an entry at least budgetCrashes times, and in a trial after that.
+// What is known of such parts is the same as of parts that crash targets, for which the budget allows few further trials.
+func isBlamed(e quarantine.Entry) bool { return e.Crashes() > budgetCrashes && e.Trials() > 0 }
+
 // checkTime checks the time that a sound task has spent. The time in which it waited for a slot, was moved, or was cut by
 // crashes with the delays after that, is not the quarantine's.
 func (f *fleet) checkTime(t *task) {
 	now := t.spent
 	now[t.state] += f.now - t.since
+	now[taskRejected] -= t.blamedTime
+
+	if t.state == taskRejected && t.isBlamed {
+		now[taskRejected] -= f.now - t.since
+	}
 
 	if now[taskRejected] >= maxRejectedTime {
 		f.failf(soundTasksRun, "%s %v has been rejected for %s, last because of %s", t.id, t.parts, now[taskRejected], t.lastEntry)
--- a/internal/serve/quarantine/fleet_task_test.go
+++ b/internal/serve/quarantine/fleet_task_test.go
@@ -42,6 +42,8 @@
 	cutTime    time.Duration // of attempts that broke off
 	retryDelay time.Duration
 	lastEntry  string
+	isBlamed   bool          // the last rejection was because of parts that isBlamed tells
+	blamedTime time.Duration // in rejections of this kind
 
 	// Of the current attempt.
 	request string
@@ -61,6 +63,10 @@
 // enter changes the state of a task.
 func (f *fleet) enter(t *task, s taskState) {
 	t.spent[t.state] += f.now - t.since
+	if t.state == taskRejected && t.isBlamed {
+		t.blamedTime += f.now - t.since
+	}
+
 	t.state, t.since, t.due = s, f.now, f.now
 	t.generation++
 }
@@ -195,6 +201,7 @@
 
 	f.checkRejection(t, e)
 	f.enter(t, taskRejected)
+	t.isBlamed = isBlamed(e)
 
 	delay := rejectionRetryDelay(e)
 	if !t.batch {
--- a/internal/serve/quarantine/registry.go
+++ b/internal/serve/quarantine/registry.go
@@ -85,29 +85,24 @@
 
 	s.evidence.clear(p)
 
-	return r.clear(s, p.service, p.has, now)
+	return s.clear(NewClearance(p.service, nil, 0), p.has, now)
 }
 
-// clear removes the parts that are sound from the combinations of a service, and announces that. The caller holds the
-// lock of the service.
-func (r *Registry) clear(s *serviceState, service string, isSound func(id string) bool, now time.Time) []Entry {
+// clear removes parts from the combinations of a service, and announces that with the parts added to a clearance.
+func (s *serviceState) clear(n Clearance, isCleared func(id string) bool, now time.Time) []Entry {
 	var l []Entry
 
 	s.combinations = slices.DeleteFunc(s.combinations, func(c *combination) bool {
-		rest := slices.DeleteFunc(slices.Clone(c.parts), isSound)
-		if len(rest) == len(c.parts) {
+		rest := slices.DeleteFunc(slices.Clone(c.parts), isCleared)
+		// Crashes that followed are not explained.
+		if len(rest) == len(c.parts) || n.explained && c.lastCrash.After(now) {
 			return false
 		}
 
-		l = append(l, c.entry(service, now))
+		l = append(l, c.entry(n.service, now))
 
-		cleared := slices.DeleteFunc(slices.Clone(c.parts), func(id string) bool { return slices.Contains(rest, id) })
-		s.announce(service, cleared, now)
-
-		// Messages of other daemons may still name the combination.
-		for _, id := range cleared {
-			r.sound.add(service, id, now)
-		}
+		n.parts = slices.DeleteFunc(slices.Clone(c.parts), func(id string) bool { return slices.Contains(rest, id) })
+		s.announce(n, now)
 
 		c.parts = rest
 
@@ -144,7 +139,7 @@
 	if parts := r.commonParts(s, p, now); len(parts) > 0 {
 		l = append(l, s.quarantine(p.service, parts, SharedPart, now))
 		s.evidence.explainWith(parts)
-		r.clearExplained(s, p.service, now)
+		s.clearExplained(p.service, now)
 
 		return l
 	}
@@ -191,8 +186,8 @@
 }
 
 // clearExplained ends the quarantines of prompts' own parts whose crashes were caused by prompts with a quarantined
-// combination of shared parts. The caller holds the lock of the service.
-func (r *Registry) clearExplained(s *serviceState, service string, now time.Time) {
+// combination of shared parts.
+func (s *serviceState) clearExplained(service string, now time.Time) {
 	explained := map[string]bool{}
 
 	for _, c := range s.combinations {
@@ -202,15 +197,13 @@
 	}
 
 	if len(explained) > 0 {
-		r.clear(s, service, func(id string) bool { return explained[id] }, now)
+		s.clear(NewClearance(service, nil, 0).AsExplained(), func(id string) bool { return explained[id] }, now)
 	}
 }
 
 // quarantine starts the quarantine of a combination of sorted parts.
 func (s *serviceState) quarantine(service string, parts []string, rule Rule, now time.Time) Decision {
 	c := s.combination(parts, now)
-	c.ownPart = rule == RepeatedPrompt
-
 	crashes, trials := s.evidence.count(parts)
 	c.start(crashes, trials, now)
 
@@ -345,25 +338,27 @@
 		return false
 	}
 
+	h := r.lock(e.service)
+	defer h.mu.Unlock()
+
+	s := h.state(e.service)
+
 	var parts, sound []string
 
 	for _, id := range e.parts {
-		if r.sound.has(e.service, id, now) {
+		switch {
+		case s.hasAnnounced(id, now): // the message was sent before its sender learned of that
+		case r.sound.has(e.service, id, now):
 			sound = append(sound, id)
-		} else {
+		default:
 			parts = append(parts, id)
 		}
 	}
 
 	slices.Sort(parts)
 
-	h := r.lock(e.service)
-	defer h.mu.Unlock()
-
-	s := h.state(e.service)
-
-	if len(sound) > 0 && !s.hasAnnounced(sound, now) {
-		s.announce(e.service, sound, now)
+	if len(sound) > 0 {
+		s.announce(NewClearance(e.service, sound, 0), now)
 	}
 
 	if len(parts) == 0 {
--- a/mesh/quarantine.go
+++ b/mesh/quarantine.go
@@ -36,12 +36,13 @@
 	AgeMS       int64    `msgpack:"age_ms"`       // time since the last crash
 }
 
-// ClearedParts are parts of the prompts of a service that were quarantined and have turned out to be sound. It is part of
-// heartbeats.
+// ClearedParts are parts of the prompts of a service that are no longer quarantined. It is part of heartbeats.
 type ClearedParts struct {
 	Service string   `msgpack:"service"`
 	Parts   []string `msgpack:"parts"`
-	AgeMS   int64    `msgpack:"age_ms"` // time since then
+	// Explained says that the parts are not known to be sound, as opposed to those on which a response began.
+	Explained bool  `msgpack:"explained"`
+	AgeMS     int64 `msgpack:"age_ms"` // time since then
 }
 
 // SuspectCrash is a crash of a target that ended an attempt at its beginning. It is part of heartbeats.
@@ -89,7 +90,7 @@
 			break
 		}
 
-		r = append(r, ClearedParts{Service: c.Service(), Parts: c.Parts(), AgeMS: c.Age().Milliseconds()})
+		r = append(r, ClearedParts{Service: c.Service(), Parts: c.Parts(), Explained: c.IsExplained(), AgeMS: c.Age().Milliseconds()})
 	}
 
 	return r
@@ -130,7 +131,12 @@
 	}
 
 	for _, c := range cleared[:min(len(cleared), maxQuarantinedPerMessage)] {
-		m.quarantine.ImportClearance(quarantine.NewClearance(c.Service, c.Parts, time.Duration(c.AgeMS)*time.Millisecond), peer)
+		n := quarantine.NewClearance(c.Service, c.Parts, time.Duration(c.AgeMS)*time.Millisecond)
+		if c.Explained {
+			n = n.AsExplained()
+		}
+
+		m.quarantine.ImportClearance(n, peer)
 	}
 
 	for _, q := range l[:min(len(l), maxQuarantinedPerMessage)] {
