quarantine: the model sends trials, narrowed entries and clearances at once

Cause: the controller tells the other daemons at once of a trial that starts and of an entry that is narrowed, and reports a response at its fourth event to the owner only if that is news; the model did neither. A clearance that was taken over left no line in the trace.

Change: the model follows slots/lease.go MarkPromptSound and the controller in both, and logs clearances.

--- a/internal/serve/quarantine/fleet_adapter_test.go
+++ b/internal/serve/quarantine/fleet_adapter_test.go
@@ -60,17 +60,14 @@
 	return e, ok && !trial
 }
 
-// admit returns the entry that rejects a request at the slot owner, and whether the request is a trial.
-func (r *fleetRegistry) admit(parts []string, slotRequest, request string, batch bool, now time.Time) (e quarantine.Entry, rejected, trial bool) {
+// admit returns the decision about a slot request at the slot owner.
+func (r *fleetRegistry) admit(parts []string, slotRequest, request string, batch bool, now time.Time) quarantine.Admission {
 	a := quarantine.NewApplicant(slotRequest, request)
 	if batch {
 		a = a.AsItem()
 	}
 
-	n := r.registry.Admit(fleetPrompt(parts), a, now)
-	e, rejected = n.Rejected()
-
-	return e, rejected, n.IsTrial()
+	return r.registry.Admit(fleetPrompt(parts), a, now)
 }
 
 // endTrial ends a trial that has no result.
@@ -88,6 +85,11 @@
 	return r.registry.Suspects(fleetPrompt(parts), now).Parts()
 }
 
+// isNews reports whether a response beyond its beginning tells the slot owner something new about the prompt.
+func (r *fleetRegistry) isNews(parts []string, trial bool, now time.Time) bool {
+	return trial || len(r.suspects(parts, now)) > 1
+}
+
 func (c fleetCrash) crash() quarantine.Crash {
 	return quarantine.NewCrash(c.target, c.start).WithAttempt(c.request, c.request, c.events, c.age)
 }
@@ -120,23 +122,21 @@
 	return fleetHeartbeat{entries: r.registry.Entries(now), cleared: r.registry.Clearances(now), reports: r.registry.Reports(now)}
 }
 
-// merge takes over a heartbeat and returns the entries that were new.
-func (r *fleetRegistry) merge(h fleetHeartbeat, now time.Time) []quarantine.Entry {
+// merge takes over a heartbeat and returns the entries that were new, and those that were narrowed by a clearance.
+func (r *fleetRegistry) merge(h fleetHeartbeat, now time.Time) (added, narrowed []quarantine.Entry) {
 	for _, n := range h.reports {
 		r.registry.ImportReport(n, now)
 	}
 
 	for _, c := range h.cleared {
-		r.registry.ImportClearance(c, now)
+		narrowed = append(narrowed, r.registry.ImportClearance(c, now)...)
 	}
 
-	var l []quarantine.Entry
-
 	for _, e := range h.entries {
 		if r.registry.Import(e, now) {
-			l = append(l, e)
+			added = append(added, e)
 		}
 	}
 
-	return l
+	return added, narrowed
 }
--- a/internal/serve/quarantine/fleet_model_test.go
+++ b/internal/serve/quarantine/fleet_model_test.go
@@ -180,8 +180,13 @@
 	h := from.registry.export(f.clock())
 
 	f.afterMessage(to, func() {
-		if l := to.registry.merge(h, f.clock()); len(l) > 0 {
-			f.logf("%s imports from %s:%s", to.name, from.name, entryNames(l))
+		added, narrowed := to.registry.merge(h, f.clock())
+		if len(narrowed) > 0 {
+			f.logf("%s narrows after a clearance of %s:%s", to.name, from.name, entryNames(narrowed))
+		}
+
+		if len(added) > 0 {
+			f.logf("%s imports from %s:%s", to.name, from.name, entryNames(added))
 		}
 	})
 }
@@ -199,6 +204,7 @@
 func (f *fleet) markSound(d *daemon, t *task) {
 	if l := d.registry.markSound(t.parts, f.clock()); len(l) > 0 {
 		f.logf("%s narrows after a response on %v:%s", d.name, t.parts, entryNames(l))
+		f.notifyPeers(d)
 	}
 
 	for _, id := range t.parts {
--- a/internal/serve/quarantine/fleet_target_test.go
+++ b/internal/serve/quarantine/fleet_target_test.go
@@ -74,8 +74,13 @@
 	t.began = true
 
 	d, o := f.daemons[t.daemon], t.owner
+	isNews := d.registry.isNews(t.parts, t.trial, f.clock())
+
 	f.markSound(d, t)
-	f.afterMessage(o, func() { f.markSound(o, t) })
+
+	if isNews {
+		f.afterMessage(o, func() { f.markSound(o, t) })
+	}
 }
 
 // attemptEvents returns the number of events of the current attempt.
--- a/internal/serve/quarantine/fleet_task_test.go
+++ b/internal/serve/quarantine/fleet_task_test.go
@@ -116,23 +116,24 @@
 		return
 	}
 
-	e, rejected, trial := t.owner.registry.admit(t.parts, t.request, t.id, t.batch, f.clock())
-	if rejected {
+	n := t.owner.registry.admit(t.parts, t.request, t.id, t.batch, f.clock())
+	if e, ok := n.Rejected(); ok {
 		f.withdraw(t)
 		f.reject(t, t.owner, e)
 
 		return
 	}
 
-	if trial && !t.trial {
-		f.logf("%s is a trial at %s", t.id, t.owner.name)
-	}
+	t.trial = n.IsTrial()
 
-	t.trial = trial
+	if n.HasStarted() {
+		f.logf("%s %v is a trial at %s", t.id, t.parts, t.owner.name)
+		f.notifyPeers(t.owner)
+	}
 
 	if !slices.Contains(f.waiting, t) {
 		// A trial of an item goes before other items.
-		if i := slices.IndexFunc(f.waiting, func(o *task) bool { return o.batch && !o.trial }); trial && i >= 0 {
+		if i := slices.IndexFunc(f.waiting, func(o *task) bool { return o.batch && !o.trial }); t.trial && i >= 0 {
 			f.waiting = slices.Insert(f.waiting, i, t)
 		} else {
 			f.waiting = append(f.waiting, t)
