quarantine: trials two seconds apart, first in line for a slot

A trial of an item waited behind online requests for a slot, as its due time is that of its job, while everything with the same parts was rejected. A trial is now due at once. The trials after the fifth crash come as soon as the first ones, but for the last.

--- a/internal/serve/quarantine/combination.go
+++ b/internal/serve/quarantine/combination.go
@@ -5,12 +5,10 @@
 )
 
 const (
-	// minTrialInterval is the time from the start of a quarantine to the first trial, and between the first ones. Sound
-	// prompts, which were blamed for crashes of another cause, are released soon, even if such crashes end some trials.
-	minTrialInterval = 2 * time.Second
-	// lateTrialInterval and lastTrialInterval are the times before the trials that follow manyCrashes. The parts are hardly
-	// sound then, but a job bears the sum of all intervals but the last one.
-	lateTrialInterval = 4 * time.Second
+	// trialInterval is the time from the start of a quarantine to the first trial, and between trials. Sound prompts, which were
+	// blamed for crashes of another cause, are released soon, even if such crashes end some trials. lastTrialInterval
+	// is the time before the last trial, when the parts are hardly sound.
+	trialInterval     = 2 * time.Second
 	lastTrialInterval = 12 * time.Second
 	// maxItemPrecedence is the time for which a trial is kept for the items that wait for it.
 	maxItemPrecedence = time.Second
@@ -95,7 +93,7 @@
 // start starts the quarantine with the number of crashes so far, and of those that count as trials.
 func (c *combination) start(crashes, trials int, now time.Time) {
 	c.crashes, c.trials, c.lastCrash = max(c.crashes, crashes), max(c.trials, trials), now
-	c.nextTrial = now.Add(minTrialInterval)
+	c.nextTrial = now.Add(trialInterval)
 	c.noteMany(now)
 }
 
@@ -131,14 +129,11 @@
 
 // interval returns the time to the next trial after a failed one.
 func (c *combination) interval() time.Duration {
-	switch {
-	case c.crashes < manyCrashes:
-		return minTrialInterval
-	case c.trials == 0:
-		return lateTrialInterval
-	default:
+	if c.crashes >= manyCrashes && c.trials == maxTrials-1 {
 		return lastTrialInterval
 	}
+
+	return trialInterval
 }
 
 // hasTrialsLeft reports whether further trials are allowed. A trial that is under way, or has timed out, may be replaced.
@@ -263,7 +258,7 @@
 
 	c.nextTrial = now
 	if sent {
-		c.nextTrial = now.Add(minTrialInterval)
+		c.nextTrial = now.Add(trialInterval)
 	}
 }
 
--- a/slots/owner.go
+++ b/slots/owner.go
@@ -149,13 +149,17 @@
 	default:
 	}
 
-	c := pool.Online
-	if q.Batch && !a.Trial { // others wait for the result of a trial, which therefore goes before batch work and is not preempted
+	now := time.Now()
+	c, rank, due := pool.Online, q.Rank, now.Add(time.Duration(q.DueMS)*time.Millisecond)
+
+	switch {
+	case a.Trial: // others wait for the result, so that it goes first and is not preempted
+		rank, due = 0, now
+	case q.Batch:
 		c = pool.Batch
 	}
 
-	now := time.Now()
-	r := pool.NewSlotRequest(q.ID, q.Holder, q.Domain, c, q.Rank, now.Add(time.Duration(q.DueMS)*time.Millisecond)).
+	r := pool.NewSlotRequest(q.ID, q.Holder, q.Domain, c, rank, due).
 		WithExcludedTargets(q.Avoid).WithPreferredTarget(q.Prefer).WithRunTime(time.Duration(q.NeedsMS) * time.Millisecond).
 		WithMaxWait(time.Duration(q.MostMS) * time.Millisecond)
 	if q.Late {
