--- a/internal/serve/quarantine/fleet_task_test.go
+++ b/internal/serve/quarantine/fleet_task_test.go
@@ -42,6 +42,8 @@
 	cutTime    time.Duration // of attempts that broke off
 	retryDelay time.Duration
 	lastEntry  string
+	isBlamed   bool          // the last rejection was because of parts that isBlamed tells
+	blamedTime time.Duration // in rejections of this kind
 
 	// Of the current attempt.
 	request string
@@ -61,6 +63,10 @@
 // enter changes the state of a task.
 func (f *fleet) enter(t *task, s taskState) {
 	t.spent[t.state] += f.now - t.since
+	if t.state == taskRejected && t.isBlamed {
+		t.blamedTime += f.now - t.since
+	}
+
 	t.state, t.since, t.due = s, f.now, f.now
 	t.generation++
 }
@@ -116,24 +122,25 @@
 		return
 	}
 
-	e, rejected, trial := t.owner.registry.admit(t.parts, t.request, t.id, t.batch, f.clock())
-	if rejected {
+	n := t.owner.registry.admit(t.parts, t.request, t.id, t.batch, f.clock())
+	if e, ok := n.Rejected(); ok {
 		f.withdraw(t)
 		f.reject(t, t.owner, e)
 
 		return
 	}
 
-	if trial && !t.trial {
-		f.logf("%s is a trial at %s", t.id, t.owner.name)
-	}
+	t.trial = n.IsTrial()
 
-	t.trial = trial
+	if n.HasStarted() {
+		f.logf("%s %v is a trial at %s", t.id, t.parts, t.owner.name)
+		f.notifyPeers(t.owner)
+	}
 
 	if !slices.Contains(f.waiting, t) {
-		// A trial of an item goes before other items.
-		if i := slices.IndexFunc(f.waiting, func(o *task) bool { return o.batch && !o.trial }); trial && i >= 0 {
-			f.waiting = slices.Insert(f.waiting, i, t)
+		// A trial goes before all others that wait.
+		if t.trial {
+			f.waiting = slices.Insert(f.waiting, 0, t)
 		} else {
 			f.waiting = append(f.waiting, t)
 		}
@@ -195,6 +202,7 @@
 
 	f.checkRejection(t, e)
 	f.enter(t, taskRejected)
+	t.isBlamed = isBlamed(e)
 
 	delay := rejectionRetryDelay(e)
 	if !t.batch {
