--- a/soak/budget.go
+++ b/soak/budget.go
@@ -16,6 +16,12 @@
 	stableWindow = 3 * time.Second
 )
 
+// Counters of the runs of requests with deadlyPart later than stableWindow after the deadlyCrashBudget-th crash.
+const (
+	lateRuns        = "late deadly runs"
+	lateExcusedRuns = "late deadly runs, excused"
+)
+
 // outOfTouch returns a function that matches the faults that excuse daemon n for stableWindow, as it was not in touch.
 func outOfTouch(n int) func(f Fault) bool {
 	return func(f Fault) bool {
@@ -97,9 +103,11 @@
 			}
 
 			excused := !x.injector.isFaultFree(r.Start.Add(-stableWindow), r.Start, func(f Fault) bool { return excuse(f) || harmsLinkTo(n)(f) })
-			x.recorder.Count(fmt.Sprintf("late deadly runs, excused %t", excused))
 
-			if !excused {
+			if excused {
+				x.recorder.Count(lateExcusedRuns)
+			} else {
+				x.recorder.Count(lateRuns)
 				late = append(late, fmt.Sprintf("%s at %s, %s after the fifth crash", r.ID, t.id, r.Start.Sub(from.Add(-stableWindow)).Round(time.Millisecond)))
 			}
 		}
--- a/soak/report.go
+++ b/soak/report.go
@@ -82,6 +82,12 @@
 		}
 	}
 
+	if late, excused := r.Counts[lateRuns], r.Counts[lateExcusedRuns]; late+excused > 0 {
+		if _, err := fmt.Fprintf(w, "  late runs with the part that crashes workers: %d, and %d that daemons out of touch may have sent\n", late, excused); err != nil {
+			return err
+		}
+	}
+
 	for _, reason := range slices.Sorted(maps.Keys(r.Open)) {
 		if _, err := fmt.Fprintf(w, "  open items that crash workers: %d, last line: %s\n", r.Open[reason], reason); err != nil {
 			return err
