mesh: take over the jobs of an incarnation that was lost before it was known

A daemon that restarts, accepts a job and is lost before another one has read its record left the job to nobody: IsRunning presumed for good that an incarnation with a later start than the known one is live. Its items waited until the VM started again or its record was dropped after 10 min.

Such an incarnation now counts as running until takeoverTimeout after the first question about it. The time is not counted from its start, as the clocks of VMs differ and jump.

--- a/batches/incarnation_test.go
+++ b/batches/incarnation_test.go
@@ -41,7 +41,8 @@
 	table.AddPeer(mesh.Peer{VM: "vm1", Start: 0}, now)
 	table.MarkReplied(mesh.Peer{VM: "vm1", Start: 0}, now)
 
-	clock := func() time.Time { return time.Now().Add(time.Minute) }
+	// The clock of the runner runs ten times as fast, so that the time for a takeover passes within a second.
+	clock := func() time.Time { return now.Add(time.Minute + 10*time.Since(now)) }
 	r := batches.NewRunner(
 		d.Batches, &fakeEngine{events: 3}, fixedRoutes{}, tablePeers{Table: table, Followers: batches.NewFollowers(table)}, unreachablePeers{},
 		clock, zerolog.Nop())
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -101,9 +101,12 @@
 type peerState struct {
 	peer      Peer
 	lastReply time.Time // time of the last reply; zero if there was none
-	heardAt   time.Time // last heartbeat from a daemon that has heard from this one; zero if there was none
-	addedAt   time.Time
-	failed    bool // the last call failed
+
+	unknownStart int64     // latest start of an incarnation whose record was not read; 0 for none
+	unknownSince time.Time // when IsRunning was first asked about it
+	heardAt      time.Time // last heartbeat from a daemon that has heard from this one; zero if there was none
+	addedAt      time.Time
+	failed       bool // the last call failed
 }
 
 // New returns a table that knows only self, this daemon.
@@ -367,6 +370,16 @@
 	return l
 }
 
+// isUnknownRunning is like IsRunning, for an incarnation that is newer than the known one. Its record was not read yet, or it
+// was lost before it could write one. The time is that since the first call, as the clocks of VMs differ.
+func (s *peerState) isUnknownRunning(start int64, now time.Time) bool {
+	if start > s.unknownStart {
+		s.unknownStart, s.unknownSince = start, now
+	}
+
+	return start == s.unknownStart && now.Sub(s.unknownSince) <= takeoverTimeout
+}
+
 // IsRunning reports whether the incarnation of a daemon with the given start is presumed to continue its work, even if
 // it is leaving. A daemon that does not reply counts as running during its grace period and until takeoverTimeout.
 func (t *Table) IsRunning(vm string, start int64, now time.Time) bool {
@@ -384,8 +397,10 @@
 	s, ok := h.peers[vm]
 
 	switch {
-	case ok && s.peer.Start != start:
-		return s.peer.Start < start // a newer incarnation whose record was not read yet
+	case ok && s.peer.Start < start:
+		return s.isUnknownRunning(start, now)
+	case ok && s.peer.Start > start:
+		return false
 	case ok:
 		return s.isRunning(n, canDetect, now)
 	default:
