--- a/integration/crash_fleet_test.go
+++ b/integration/crash_fleet_test.go
@@ -24,8 +24,9 @@
 	spread            time.Duration // time within which the streams of a worker that has crashed end
 }
 
-// deadlyAwayTime is the time for which a worker is away after a crash that a prompt has caused.
+// maxAwayTime is the longest time for which a worker is away after a crash on command, and deadlyAwayTime the time for which a worker is away after a crash that a prompt has caused.
 const (
+	maxAwayTime    = 1500 * time.Millisecond
 	deadlyAwayTime = 600 * time.Millisecond
 	// entryLifetime is the time after which the registration of a worker that has crashed is removed.
 	entryLifetime = 1500 * time.Millisecond
--- a/integration/crash_requests_test.go
+++ b/integration/crash_requests_test.go
@@ -36,9 +36,8 @@
 	return f.send(http.MethodPost, n.callerAddress, "/batch/x", id, promptJobBody(items)).status == http.StatusAccepted
 }
 
-// sendParts sends an online request with a prompt on a new connection. It returns the status, and whether the response
-// is complete and that of this request.
-func (f *crashFleet) sendParts(n *daemonProcess, id, parts string) (int, bool) {
+// sendParts sends an online request with a prompt on a new connection.
+func (f *crashFleet) sendParts(n *daemonProcess, id, parts string) routedResponse {
 	q, _ := http.NewRequest(http.MethodPost, "http://"+n.callerAddress+"/again/x", strings.NewReader("body"))
 	q.Host = "h.example"
 	q.Header.Set("Request-Id", id)
@@ -50,13 +49,18 @@
 
 	a, err := (&http.Client{Transport: t, Timeout: 15 * time.Second}).Do(q)
 	if err != nil {
-		return 0, false
+		return routedResponse{err: err}
 	}
 	defer a.Body.Close()
 
 	b, err := io.ReadAll(a.Body)
 
-	return a.StatusCode, err == nil && string(b) == f.expectedStream(id)
+	return routedResponse{status: a.StatusCode, body: string(b), complete: err == nil, err: err}
+}
+
+// isServed reports whether a response is the complete one to the request with an ID.
+func (f *crashFleet) isServed(a routedResponse, id string) bool {
+	return a.status == http.StatusOK && a.complete && a.body == f.expectedStream(id)
 }
 
 // expectedStream returns the complete event stream of the response to the request with an ID.
--- a/integration/crash_sound_part_test.go
+++ b/integration/crash_sound_part_test.go
@@ -19,9 +19,7 @@
 	Convey("Given three daemons and workers that crash under requests with one sound part", t, func() {
 		f := newCrashFleet(t, fleetOptions{daemons: 3, workers: 6, slots: 1, events: 20, gap: 150 * time.Millisecond, spread: 10 * time.Millisecond})
 
-		status, complete := f.sendParts(f.daemons[0], "warm-up", "route:100,warm:100")
-		So(status, ShouldEqual, 200)
-		So(complete, ShouldBeTrue)
+		So(f.isServed(f.sendParts(f.daemons[0], "warm-up", "route:100,warm:100"), "warm-up"), ShouldBeTrue)
 
 		owner := f.slotOwner()
 		a, b := f.daemons[(owner+1)%3], f.daemons[(owner+2)%3]
@@ -57,7 +55,9 @@
 
 			served := false
 			for n := 0; !served && time.Now().Before(deadline); n++ {
-				_, served = f.sendParts(b, fmt.Sprint("later-", n), fmt.Sprintf("route:100,part:100,later-%d:50", n))
+				id := fmt.Sprint("later-", n)
+				served = f.isServed(f.sendParts(b, id, "route:100,part:100,"+id+":50"), id)
+
 				time.Sleep(200 * time.Millisecond)
 			}
 
