quarantine: property of sound items without the exception for blamed parts

Cause: since the model leaves out the time of rejections because of parts with more than five crashes and a late trial. The reason given holds for prompts that lost six young attempts of their own. It also leaves out sound shared parts whose trials were taken by prompts with a part that crashes targets, or were ended by a crash that another request caused.

Change: TestQuarantineReleasesBlamedSoundItems keeps the property as it was, beside the one with the exception.

--- a/internal/serve/quarantine/fleet_property_test.go
+++ b/internal/serve/quarantine/fleet_property_test.go
@@ -17,10 +17,11 @@
 type property int
 
 const (
-	soundTasksRun      property = iota // sound items and requests are not held back for longer than their jobs bear
-	crashBudget                        // few requests with a part that crashes targets reach targets after the fifth crash
-	soundPartsLeave                    // a part that is sound at one daemon does not stay in quarantine at another one
-	openTasksHaveCause                 // open items run, or wait for something that comes
+	soundTasksRun       property = iota // sound items and requests are not held back for longer than their jobs bear
+	crashBudget                         // few requests with a part that crashes targets reach targets after the fifth crash
+	soundPartsLeave                     // a part that is sound at one daemon does not stay in quarantine at another one
+	soundTasksRunBlamed                 // like soundTasksRun, also for parts that isBlamed tells
+	openTasksHaveCause                  // open items run, or wait for something that comes
 )
 
 const (
@@ -91,6 +92,11 @@
 func (f *fleet) checkTime(t *task) {
 	now := t.spent
 	now[t.state] += f.now - t.since
+
+	if now[taskRejected] >= maxRejectedTime {
+		f.failf(soundTasksRunBlamed, "%s %v has been rejected for %s, last because of %s", t.id, t.parts, now[taskRejected], t.lastEntry)
+	}
+
 	now[taskRejected] -= t.blamedTime
 
 	if t.state == taskRejected && t.isBlamed {
@@ -225,6 +231,11 @@
 // Guards against sound items and requests that a quarantine holds back until the time of their job is over.
 func TestQuarantineHoldsNoSoundItemBack(t *testing.T) { checkFleets(t, soundTasksRun) }
 
+// Guards against sound parts that stay in quarantine because prompts that crash targets have taken their trials, or other
+// crashes have ended them. It is the property of the test above without the exception for parts that look the same as parts that
+// crash targets.
+func TestQuarantineReleasesBlamedSoundItems(t *testing.T) { checkFleets(t, soundTasksRunBlamed) }
+
 // Guards against a part of prompts that keeps crashing targets after its quarantine, by trials, by daemons that do not
 // know of it, or across restarts and changes of the slot owner.
 func TestCrashBudgetOfPart(t *testing.T) { checkFleets(t, crashBudget) }
