--- a/filter/relay_test.go
+++ b/filter/relay_test.go
@@ -334,6 +334,22 @@
 	})
 }
 
+// Guards against a prompt that is suspect after a crash although an earlier attempt has shown that it does not crash
+// targets.
+func TestCrashesAfterAResponseBeganAreNotBlamed(t *testing.T) {
+	Convey("Given a stream whose first attempt broke off after more than three events", t, func() {
+		crash := outcome.New(outcome.IncompleteResponse, outcome.Unknown, "cut").WithCause(filter.ErrTargetCrashed)
+		long := scriptedAttempt{sent: true, status: 200, from: 1, to: filter.MaxCrashEvents + 1, err: crash}
+		young := scriptedAttempt{sent: true, status: 200, from: filter.MaxCrashEvents + 2, to: filter.MaxCrashEvents + 2, err: crash}
+
+		Convey("a crash at the beginning of the next attempt shows nothing about its prompt", func() {
+			p := &recordingRouter{}
+			_, _, _ = runRelay(resumable, p, long, young)
+			So(p.prompts[:2], ShouldResemble, []filter.PromptOutcome{filter.PromptSound, filter.PromptUntested})
+		})
+	})
+}
+
 // Guards against the text of an error, or of another kind of response, in the middle of a stream that is resumed at
 // another target, and against a stream that then ends as if it were complete.
 func TestRelayResumesWithTheSameKindOfResponse(t *testing.T) {
--- a/slots/quarantine_test.go
+++ b/slots/quarantine_test.go
@@ -11,7 +11,9 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/agategap/agategap/filter"
+	"github.com/agategap/agategap/internal/serve/quarantine"
 	"github.com/agategap/agategap/outcome"
+	"github.com/agategap/agategap/slots"
 )
 
 // crashingTarget loses the connection of requests whose prompt has the part "bad", and responds to others.
@@ -84,6 +86,45 @@
 	})
 }
 
+// Guards against a trial that waits behind other work for a slot, while all requests with the same parts are rejected.
+func TestTrialsOfItemsGoFirst(t *testing.T) {
+	n, l := startDaemons(t, 2, 1)
+
+	Convey("Given a quarantined part and a target that is busy with an item, for which others wait", t, func() {
+		o := l[0].owner
+		for i := range 3 {
+			l[0].prompts.AddCrash(quarantine.NewPrompt("s", []string{"bad", fmt.Sprint("own", i)}), quarantine.NewCrash(fmt.Sprint("t", i), 0))
+		}
+
+		n.advance(3 * time.Second)
+
+		ask := func(id string, due time.Duration, batch bool, parts ...string) slots.AskReply {
+			var a slots.AskReply
+
+			q := slots.AskArgs{Service: "s", ID: id, Request: id, Holder: "vm1", Address: "vm1", Batch: batch, DueMS: due.Milliseconds(), Parts: parts}
+			So(o.Ask(q, &a), ShouldBeNil)
+
+			return a
+		}
+
+		for end := time.Now().Add(2 * time.Second); ask("busy", time.Second, false).Target == "" && time.Now().Before(end); {
+			time.Sleep(10 * time.Millisecond)
+		}
+
+		So(ask("item", time.Second, true).Target, ShouldBeEmpty)
+		So(ask("online", time.Second, false).Target, ShouldBeEmpty)
+
+		trial := ask("trial", time.Minute, true, "bad", "own9")
+		So(trial.Trial, ShouldBeTrue)
+		So(trial.Target, ShouldBeEmpty)
+		So(ask("other", time.Minute, true, "bad", "own8").Quarantined, ShouldResemble, []string{"bad"})
+
+		So(o.Release(slots.ReleaseArgs{Service: "s", ID: "busy", Target: "t"}, nil), ShouldBeNil)
+		So(ask("trial", time.Minute, true, "bad", "own9").Target, ShouldEqual, "t")
+		So(ask("online", time.Second, false).Target, ShouldBeEmpty)
+	})
+}
+
 // Guards against a daemon that has just become the owner and blames a part that other daemons know to be sound.
 func TestNewOwnerDoesNotBlameSoundParts(t *testing.T) {
 	n, l := startDaemons(t, 4, 8)
