quarantine: traces of the model tell the crashes and trials of entries

Cause: a trace of the budget did not show how many crashes the owner has counted.

Change: entries are logged with their crashes and trials.

--- a/internal/serve/quarantine/fleet_model_test.go
+++ b/internal/serve/quarantine/fleet_model_test.go
@@ -161,7 +161,7 @@
 	var b strings.Builder
 
 	for _, e := range l {
-		fmt.Fprintf(&b, " %s (for %s)", e, e.Remaining().Round(time.Millisecond))
+		fmt.Fprintf(&b, " %s (for %s, crashes %d, trials %d)", e, e.Remaining().Round(time.Millisecond), e.Crashes(), e.Trials())
 	}
 
 	return b.String()
--- a/internal/serve/quarantine/fleet_task_test.go
+++ b/internal/serve/quarantine/fleet_task_test.go
@@ -197,7 +197,7 @@
 func (f *fleet) reject(t *task, d *daemon, e quarantine.Entry) {
 	if n := d.name + " " + e.String(); n != t.lastEntry {
 		t.lastEntry = n
-		f.logf("%s %v is rejected at %s because of %s (for %s)", t.id, t.parts, d.name, e, e.Remaining().Round(time.Millisecond))
+		f.logf("%s %v is rejected at %s because of%s", t.id, t.parts, d.name, entryNames([]quarantine.Entry{e}))
 	}
 
 	f.checkRejection(t, e)
