--- a/soak/report.go
+++ b/soak/report.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"html/template"
 	"io"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -17,6 +19,7 @@
 	Broken  []BrokenRecord `json:"broken"`
 	Faults  []FaultRecord  `json:"faults"`
 	Counts  map[string]int `json:"counts"`
+	Open    map[string]int `json:"open"` // items with a part that crashes workers that have no result, by last known reason
 }
 
 // BrokenRecord is a broken promise in a report.
@@ -45,7 +48,14 @@
 		r.Broken = append(r.Broken, BrokenRecord{Promise: b.promise, AtMS: b.at.Milliseconds(), ID: b.id, What: b.description})
 	}
 
+	j.mu.Lock()
+	defer j.mu.Unlock()
+
 	for _, s := range j.injected {
+		if s.to.IsZero() {
+			s.to = time.Now() // the restart of a worker that is down
+		}
+
 		r.Faults = append(r.Faults, FaultRecord{
 			Kind: s.fault.kind, Index: s.fault.index, FromMS: s.from.Sub(l.start).Milliseconds(), ToMS: s.to.Sub(l.start).Milliseconds(),
 		})
@@ -59,8 +69,9 @@
 
 // WriteText writes a summary as one line, followed by a line for each broken promise.
 func (r Report) WriteText(w io.Writer) error {
-	if _, err := fmt.Fprintf(w, "seed %d: %d faults, %d requests served, %d jobs accepted, %d promises broken\n",
-		r.Seed, len(r.Faults), r.Counts["answer 200"], r.Counts["job 202"], len(r.Broken)); err != nil {
+	if _, err := fmt.Fprintf(w, "seed %d: %d faults, %d requests served, %d jobs accepted, %d deadly and %d sound parts quarantined, %d promises broken\n",
+		r.Seed, len(r.Faults), r.Counts["answer 200"], r.Counts["job 202"], r.Counts["quarantines, part deadly"], r.Counts["quarantines, part sound"],
+		len(r.Broken)); err != nil {
 		return err
 	}
 
@@ -71,6 +82,12 @@
 		}
 	}
 
+	for _, reason := range slices.Sorted(maps.Keys(r.Open)) {
+		if _, err := fmt.Fprintf(w, "  open items that crash workers: %d, last line: %s\n", r.Open[reason], reason); err != nil {
+			return err
+		}
+	}
+
 	return nil
 }
 
@@ -103,6 +120,7 @@
 <h2>Seed {{.Seed}}: {{len .Broken}} promises broken</h2>
 <p>{{.Daemons}} daemons, {{.Workers}} workers, faults for {{.Length}}.</p>
 {{range .Broken}}<p class="broken">{{.AtMS}} ms, {{.Promise}}, {{.ID}}: {{.What}}</p>{{end}}
+{{range $reason, $n := .Open}}<p>{{$n}} open items that crash workers, last line: {{$reason}}</p>{{end}}
 {{range .Faults}}<div class="line"><span class="name">{{.FromMS}} ms {{.Kind}} {{.Index}}</span><span class="bar" style="margin-left: 15em; left: {{left .FromMS}}; width: {{width .}}"></span></div>
 {{end}}
 {{end}}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -23,7 +23,7 @@
 	Events int           // number of events of each response
 	Gap    time.Duration // time before each event
 
-	ColdTime time.Duration // time after New for which the worker is slow
+	ColdTime time.Duration // time after New or Restart for which the worker is slow
 	ColdGap  time.Duration // time before each event during ColdTime
 
 	// OnCrash is called at each crash, before the responses that are under way are aborted. It has to make the worker
@@ -59,9 +59,9 @@
 type Worker struct {
 	options Options
 	slots   chan struct{}
-	start   time.Time
 
 	mu      sync.Mutex
+	start   time.Time
 	faults  Faults
 	waiting int    // requests that wait for a slot
 	runs    []*Run // in order of their start
@@ -327,6 +327,9 @@
 
 // gap returns the time before the next event.
 func (k *Worker) gap() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+
 	if time.Since(k.start) < k.options.ColdTime {
 		return k.options.ColdGap
 	}
