--- a/internal/serve/quarantine/report.go
+++ b/internal/serve/quarantine/report.go
@@ -17,7 +17,6 @@
 type Report struct {
 	crash  Crash
 	prompt Prompt
-	at     time.Time
 	age    time.Duration
 }
 
--- a/slots/lease.go
+++ b/slots/lease.go
@@ -59,7 +59,10 @@
 		p := h.quarantine.Suspects(newPrompt(s.service, s.parts))
 		q.Parts, q.Start = p.Parts(), s.target.Start()
 		q.Request, q.Events, q.AgeMS = s.request, v.Tokens(), v.Total().Milliseconds()
-		h.quarantine.NoteCrash(p, newCrash(q))
+
+		if s.owner.VM != h.peers.Self().VM {
+			h.quarantine.NoteCrash(p, newCrash(q))
+		}
 	case filter.PromptUntested:
 	}
 
