quarantine: count a crash once, whatever attempts it has ended

Two attempts with the parts that one crash had ended counted as two crashes if another crash came between, or if the first one had started the quarantine.

The new case of TestPromptsThatCrashTargets counted 4 before.

--- a/internal/serve/quarantine/combination.go
+++ b/internal/serve/quarantine/combination.go
@@ -100,8 +100,10 @@
 // HasStarted reports whether the trial starts with this decision.
 func (a Admission) HasStarted() bool { return a.started }
 
-// start starts the quarantine with the number of crashes so far, and of those that count as trials.
-func (c *combination) start(crashes, trials int, now time.Time) {
+// start starts the quarantine with the number of crashes so far, that of those that count as trials, and the number of the
+// last one.
+func (c *combination) start(crashes, trials, lastNumber int, now time.Time) {
+	c.lastNumber = lastNumber
 	c.crashes, c.trials, c.lastCrash = max(c.crashes, crashes), max(c.trials, trials), now
 	c.nextTrial = now.Add(trialInterval)
 	c.noteMany(now)
@@ -116,7 +118,7 @@
 
 // addCrash counts a crash under a prompt with the parts, and reports whether it has ended a trial.
 func (c *combination) addCrash(number int, n Crash, now time.Time) bool {
-	if number != c.lastNumber {
+	if number > c.lastNumber { // otherwise another attempt that the same crash has ended
 		c.lastNumber, c.lastCrash = number, now
 		c.crashes++
 		c.noteMany(now)
--- a/internal/serve/quarantine/registry.go
+++ b/internal/serve/quarantine/registry.go
@@ -207,7 +207,7 @@
 func (s *serviceState) quarantine(service string, parts []string, rule Rule, now time.Time) Decision {
 	c := s.combination(parts, now)
 	crashes, trials := s.evidence.count(parts)
-	c.start(crashes, trials, now)
+	c.start(crashes, trials, s.evidence.lastNumber, now)
 
 	return Decision{entry: c.entry(service, now), rule: rule, crashes: s.evidence.with(parts)}
 }
--- a/internal/serve/quarantine/registry_test.go
+++ b/internal/serve/quarantine/registry_test.go
@@ -52,6 +52,12 @@
 			So(isRejected(r, prompt("route", "caller", "r3"), at(2)), ShouldBeFalse)
 			So(isRejected(r, quarantine.NewPrompt("other", []string{"bad", "r9"}), at(2)), ShouldBeFalse)
 
+			Convey("and another request that the same crash has ended does not count", func() {
+				So(r.AddCrash(prompt("route", "caller", "bad", "r5"), crashOf("t3"), at(1.4)), ShouldBeEmpty)
+				So(r.AddCrash(prompt("route", "caller", "bad", "r6"), crashOf("t1"), at(1.5)), ShouldBeEmpty)
+				So(r.Entries(at(2))[0].Crashes(), ShouldEqual, 3)
+			})
+
 			Convey("and crashes of requests that were sent before have no further effect", func() {
 				So(r.AddCrash(prompt("route", "caller", "bad", "r4"), crashOf("t4"), at(2)), ShouldBeEmpty)
 				So(r.Entries(at(2)), ShouldHaveLength, 1)
