Revert "quarantine: try confirmed parts together when the service is idle"

And a sound prompt with one failed trial in calm would wait for up to 30 s, longer than its job bears. The line of a failed trial at the slot owner itself stays.

--- a/internal/serve/quarantine/combination.go
+++ b/internal/serve/quarantine/combination.go
@@ -10,14 +10,6 @@
 	// is the time before the last trial, when the parts are hardly sound.
 	trialInterval     = 2 * time.Second
 	lastTrialInterval = 12 * time.Second
-	// idleTime is the time without other slot requests after which a service counts as idle. The items that wait may then
-	// try confirmed parts together, as the crashes end no other work. They start roundSpacing apart, for up to
-	// roundTime after manyCrashes, which is less than settlingTime.
-	idleTime     = 2 * time.Second
-	roundSpacing = 100 * time.Millisecond
-	roundTime    = 2500 * time.Millisecond
-	// maxConfirmedWait is the time after which a single request tries confirmed parts of a service that is never idle.
-	maxConfirmedWait = 30 * time.Second
 	// maxItemPrecedence is the time for which a trial is kept for the items that wait for it.
 	maxItemPrecedence = time.Second
 	// manyCrashes is the number of crashes from which the trials of a combination are counted, and maxTrials bounds
@@ -52,8 +44,6 @@
 	failedAt   time.Time // end of the last trial, if a crash ended it
 	trial      string    // slot request on trial; empty for none
 	trialUntil time.Time
-	confirmed  bool               // a trial failed while targets did not crash for other reasons
-	roundAt    time.Time          // last start of an item in a round
 	waiting    map[string]waiting // by request, batch items only
 }
 
@@ -125,10 +115,6 @@
 	}
 
 	if c.trial == "" || c.trial != n.slotRequest {
-		if c.confirmed {
-			c.failedAt = now
-		}
-
 		// Another daemon has started its trial, unless the request was sent before the quarantine.
 		if c.crashes > manyCrashes && now.Sub(c.manyAt) > settlingTime {
 			c.trials++
@@ -145,14 +131,11 @@
 
 // interval returns the time to the next trial after a failed one.
 func (c *combination) interval() time.Duration {
-	switch {
-	case c.crashes >= manyCrashes && c.trials == maxTrials-1:
+	if c.crashes >= manyCrashes && c.trials == maxTrials-1 {
 		return lastTrialInterval
-	case c.confirmed && c.crashes < manyCrashes:
-		return maxConfirmedWait
-	default:
-		return trialInterval
 	}
+
+	return trialInterval
 }
 
 // hasTrialsLeft reports whether further trials are allowed. A trial that is under way, or has timed out, may be replaced.
@@ -190,17 +173,12 @@
 // isReadyFor reports whether a slot request may try the combination now, and records that its request waits for that
 // if not. The trial goes to the item that has waited the longest since its last one, and to other requests if no item
 // waits or none has come for it.
-func (c *combination) isReadyFor(a Applicant, isIdle bool, now time.Time) bool {
+func (c *combination) isReadyFor(a Applicant, now time.Time) bool {
 	if c.trial == a.slotRequest {
 		return true
 	}
 
 	own, ready := c.noteWaiting(a, now), c.readyAt()
-
-	if c.isInRound(isIdle, now) {
-		return a.isItem && now.Sub(c.roundAt) >= roundSpacing
-	}
-
 	if now.Before(ready) {
 		return false
 	}
@@ -218,26 +196,6 @@
 	return true
 }
 
-// hasWaiting reports whether items wait for a trial.
-func (c *combination) hasWaiting(now time.Time) bool {
-	for _, w := range c.waiting {
-		if now.Sub(w.askedAt) < waitingPeriod {
-			return true
-		}
-	}
-
-	return false
-}
-
-// isInRound reports whether the items that wait may try the parts together.
-func (c *combination) isInRound(isIdle bool, now time.Time) bool {
-	if !c.confirmed || !isIdle || c.trial != "" || !c.hasWaiting(now) {
-		return false
-	}
-
-	return c.crashes < manyCrashes || !c.roundAt.IsZero() && now.Sub(c.manyAt) < roundTime
-}
-
 // noteWaiting records that an item waits for a trial, and returns what is known of it.
 func (c *combination) noteWaiting(a Applicant, now time.Time) waiting {
 	if !a.isItem {
@@ -268,17 +226,11 @@
 }
 
 // startTrial lets a slot request try the combination, and reports whether it did not do so already.
-func (c *combination) startTrial(a Applicant, isIdle bool, now time.Time) bool {
+func (c *combination) startTrial(a Applicant, now time.Time) bool {
 	if c.trial == a.slotRequest {
 		return false
 	}
 
-	if a.isItem && c.isInRound(isIdle, now) {
-		c.roundAt = now
-
-		return true
-	}
-
 	period := trialPeriod
 
 	if c.crashes >= manyCrashes {
--- a/internal/serve/quarantine/evidence.go
+++ b/internal/serve/quarantine/evidence.go
@@ -131,25 +131,6 @@
 	return crashes, trials
 }
 
-// otherCausePeriod is the time for which a crash under other prompts makes it likely that the next crash has another cause
-// than the prompt as well.
-const otherCausePeriod = 10 * time.Second
-
-// hasOther reports whether a target crashed lately for a reason that is not known, without a prompt with all of some parts.
-func (e *evidence) hasOther(parts []string, now time.Time) bool {
-	numbers := map[int]bool{}
-
-	for _, c := range e.crashes {
-		if c.prompt.hasAll(parts) {
-			numbers[c.number] = true
-		}
-	}
-
-	return slices.ContainsFunc(e.crashes, func(c suspectCrash) bool {
-		return now.Sub(c.at) < otherCausePeriod && !c.explained && !numbers[c.number]
-	})
-}
-
 // explain records that the crash with a number was caused by a prompt that is known to crash targets.
 func (e *evidence) explain(number int) {
 	for i := range e.crashes {
--- a/internal/serve/quarantine/registry.go
+++ b/internal/serve/quarantine/registry.go
@@ -43,7 +43,6 @@
 	evidence     evidence
 	combinations []*combination
 	cleared      []Clearance
-	lastOther    time.Time // last slot request for a prompt without a quarantined combination
 }
 
 // lock locks and returns the shard of a service.
@@ -169,7 +168,6 @@
 		}
 
 		if isNew && c.addCrash(number, n, at) {
-			c.confirmed = !s.evidence.hasOther(c.parts, at)
 			l = append(l, Decision{entry: c.entry(p.service, at), rule: FailedTrial, crashes: []Crash{n}})
 		}
 	}
@@ -278,14 +276,8 @@
 		}
 	}
 
-	if len(l) == 0 {
-		s.lastOther = now
-	}
-
-	isIdle := now.Sub(s.lastOther) >= idleTime
-
 	for _, c := range l {
-		if !c.isReadyFor(a, isIdle, now) {
+		if !c.isReadyFor(a, now) {
 			return Admission{entry: c.entry(p.service, now), rejected: true}
 		}
 	}
@@ -293,7 +285,7 @@
 	started := false
 
 	for _, c := range l {
-		started = c.startTrial(a, isIdle, now) || started
+		started = c.startTrial(a, now) || started
 	}
 
 	return Admission{trial: len(l) > 0, started: started}
--- a/internal/serve/quarantine/registry_test.go
+++ b/internal/serve/quarantine/registry_test.go
@@ -162,11 +162,6 @@
 	return !rejected
 }
 
-// crashElsewhere records a crash of another target, under a prompt without the part "bad".
-func crashElsewhere(r *quarantine.Registry, n int, now time.Time) {
-	r.AddCrash(prompt("route", fmt.Sprint("other", n)), crashOf(fmt.Sprint("o", n)), now)
-}
-
 // failTrial records the crash that a slot request has caused.
 func failTrial(r *quarantine.Registry, p quarantine.Prompt, slotRequest string, now time.Time) []quarantine.Decision {
 	return r.AddCrash(p, crashOf("target of "+slotRequest).WithAttempt(slotRequest, "", 0, 0), now)
@@ -216,9 +211,7 @@
 				So(isRejected(r, prompt("route", "bad", "r9"), now), ShouldBeFalse)
 			})
 
-			Convey("and the next one follows two seconds after its crash if targets crash elsewhere too", func() {
-				crashElsewhere(r, 1, now)
-
+			Convey("and the next one follows two seconds after its crash", func() {
 				l := failTrial(r, p, "first", now)
 				So(l, ShouldHaveLength, 1)
 				So(l[0].Rule(), ShouldEqual, quarantine.FailedTrial)
@@ -247,8 +240,6 @@
 		Convey("items that wait take turns, and go before other requests", func() {
 			var tried []string
 
-			crashElsewhere(r, 1, now)
-
 			for i := range 50 {
 				now := now.Add(time.Duration(i) * 100 * time.Millisecond)
 				So(admit(r, p, fmt.Sprint("online", i), now), ShouldEqual, i == 0)
@@ -281,8 +272,6 @@
 		Convey("the last trial comes later", func() {
 			var at []int // tenths of a second
 
-			crashElsewhere(r, 1, now)
-
 			for i := range 300 {
 				now := now.Add(time.Duration(i) * 100 * time.Millisecond)
 				if admit(r, p, fmt.Sprint("a", i), now) {
@@ -295,62 +284,6 @@
 			So(at, ShouldResemble, []int{0, 20, 40, 160})
 		})
 
-		Convey("after a failed trial without crashes elsewhere", func() {
-			i1 := prompt("route", "bad", "i1")
-			So(admitItem(r, i1, "i1", 1, now), ShouldBeTrue)
-			failTrial(r, i1, "i1/1", now)
-
-			Convey("the next one waits for half a minute while the service is in use", func() {
-				at := 0
-
-				for i := 1; at == 0 && i < 600; i++ {
-					now := now.Add(time.Duration(i) * 100 * time.Millisecond)
-					So(admit(r, prompt("route", "r9"), fmt.Sprint("sound", i), now), ShouldBeTrue)
-
-					if admitItem(r, i1, "i1", 1+i, now) {
-						at = i
-					}
-				}
-
-				So(at, ShouldEqual, 300)
-			})
-
-			Convey("all items that wait try the part when the service is idle, until shortly after the fifth crash", func() {
-				So(admit(r, prompt("route", "r9"), "sound", now.Add(4*time.Second)), ShouldBeTrue)
-
-				tried := map[string]int{} // tenths of a second
-
-				for i := range 200 {
-					now := now.Add(time.Duration(i) * 100 * time.Millisecond)
-
-					for n := range 40 {
-						item := fmt.Sprint("i", n)
-						if _, ok := tried[item]; !ok && admitItem(r, prompt("route", "bad", item), item, 100+i, now) {
-							tried[item] = i
-
-							failTrial(r, prompt("route", "bad", item), fmt.Sprint(item, "/", 100+i), now)
-						}
-					}
-
-					if i < 60+25 {
-						So(admit(r, p, fmt.Sprint("online", i), now), ShouldBeFalse)
-					}
-				}
-
-				in := 0
-				for _, at := range tried {
-					So(at, ShouldBeGreaterThanOrEqualTo, 60)
-
-					if at < 60+25 {
-						in++
-					}
-				}
-
-				So(in, ShouldEqual, 25)
-				So(len(tried)-in, ShouldBeLessThanOrEqualTo, 2)
-			})
-		})
-
 		Convey("the last trial may be replaced if nothing is known of it", func() {
 			So(r.Import(quarantine.NewEntry("s", []string{"bad"}, 0).WithHistory(6, 1, 0), now), ShouldBeFalse)
 			So(admit(r, p, "last", now), ShouldBeTrue)
