quarantine, mesh: findings of the review

A reviewer who had not seen the work found, each with a test on a clone: - reports of crashes shared slices that a clearance changed without the lock; the race detector reported it, and parts were empty; - a report of a crash that arrived again or late, or after an entry that included it, counted twice, so that trials ended early; - a daemon that had not learned of a clearance brought the quarantine back after the time of the announcement; - an item that had no trials left for one of its parts kept the turn for another one, and starved the items behind it; - trials that were sent and showed nothing, and replaced ones, did not count after the fifth crash: 20 in a minute; - IsRunning counted an unknown incarnation as lost right after a pause, and sooner than a known one in a large deployment; - a handover lost that the response to an item had begun; - clearances and reports were announced for less than one heartbeat interval of a large deployment; entries of daemons of the last version restarted the count of crashes.

New cases in TestTrialsOfQuarantinedParts and TestClearedPartsReachOtherDaemons; each failed before.

--- a/batches/handover.go
+++ b/batches/handover.go
@@ -24,6 +24,7 @@
 	Text  []byte `msgpack:"text"`  // data of the events so far
 	Last  int    `msgpack:"last"`  // number of the last event
 	Fails int    `msgpack:"fails"` // number of failed attempts
+	Began bool   `msgpack:"began"` // a response to an attempt got beyond its beginning
 	Ended bool   `msgpack:"ended"` // the item has a result, which may not be published yet
 	Given bool   `msgpack:"given"` // the result is that the item failed
 	Why   string `msgpack:"why"`   // reason of the failure
@@ -70,7 +71,7 @@
 		for _, i := range v.OpenItems() {
 			if i.ID() == p.ID {
 				u := &runningItem{
-					jobID: q.Job, item: i, cancel: func() {}, text: p.Text, lastEvent: p.Last, failedAttempts: p.Fails,
+					jobID: q.Job, item: i, cancel: func() {}, text: p.Text, lastEvent: p.Last, failedAttempts: p.Fails, began: p.Began,
 					active: p.Ended, eventEnds: []eventEnd{{event: p.Last, offset: len(p.Text)}}, runID: rand.Uint64(),
 					parentRunID: p.Onto, parentEvent: p.Last, wait: newWaitState(r.clock()),
 				}
@@ -145,7 +146,7 @@
 		r.mu.Unlock()
 
 		u.mu.Lock()
-		p.Text, p.Last, p.Onto = append([]byte(nil), u.text...), u.lastEvent, u.parentRunID
+		p.Text, p.Last, p.Began, p.Onto = append([]byte(nil), u.text...), u.lastEvent, u.began, u.parentRunID
 		if _, runID := r.batches.SavedProgress(u.jobID, u.item.ID()); runID == u.runID {
 			p.Onto = runID
 		}
--- a/filter/relay.go
+++ b/filter/relay.go
@@ -235,7 +235,7 @@
 	}
 
 	t.Release(NewObservation(0, 0, x.relay.clock().Sub(start), events, err == nil).WithFault(observedFault(c, err)).
-		WithSent(a.IsSent()).WithPrompt(promptOutcome(c, events, a.IsSent(), x.began, err)))
+		WithSent(a.IsSent() && outcome.From(err).Effect() != outcome.NotRun).WithPrompt(promptOutcome(c, events, a.IsSent(), x.began, err)))
 
 	x.began = x.began || events > MaxCrashEvents
 
--- a/internal/serve/quarantine/clearance.go
+++ b/internal/serve/quarantine/clearance.go
@@ -6,9 +6,11 @@
 )
 
 const (
-	// clearancePeriod is the time for which other daemons are told that parts were cleared. It outlasts several
-	// heartbeats, as messages may be lost.
-	clearancePeriod = 5 * time.Second
+	// clearancePeriod is the time for which other daemons are told that parts were cleared. It outlasts the interval
+	// between two heartbeats of hundreds of daemons.
+	clearancePeriod = 10 * time.Second
+	// maxClearedParts bounds the cleared parts of a service that are remembered.
+	maxClearedParts = 4096
 	// maxClearances bounds the clearances of a service. The oldest ones are dropped.
 	maxClearances = 64
 )
@@ -54,11 +56,42 @@
 
 	n.at = now
 	s.cleared = append(s.cleared, n)
+	s.noteCleared(n.parts, now)
 }
 
-// hasAnnounced reports whether other daemons are told at this time that a part was cleared.
-func (s *serviceState) hasAnnounced(id string, now time.Time) bool {
-	return slices.ContainsFunc(s.cleared, func(c Clearance) bool { return now.Sub(c.at) < clearancePeriod && slices.Contains(c.parts, id) })
+// isAnnounced reports whether other daemons are told for a while yet that a part was cleared.
+func (s *serviceState) isAnnounced(id string, now time.Time) bool {
+	return slices.ContainsFunc(s.cleared, func(c Clearance) bool {
+		return now.Sub(c.at) < clearancePeriod/2 && slices.Contains(c.parts, id) //nolint:mnd // half
+	})
+}
+
+// noteCleared records when quarantines of parts have ended.
+func (s *serviceState) noteCleared(parts []string, now time.Time) {
+	if len(s.clearedAt) >= maxClearedParts {
+		for id, at := range s.clearedAt {
+			if now.Sub(at) >= memoryPeriod {
+				delete(s.clearedAt, id)
+			}
+		}
+	}
+
+	if s.clearedAt == nil {
+		s.clearedAt = map[string]time.Time{}
+	}
+
+	for _, id := range parts {
+		if len(s.clearedAt) < maxClearedParts {
+			s.clearedAt[id] = now
+		}
+	}
+}
+
+// wasClearedSince reports whether the quarantine of a part has ended since a crash under it.
+func (s *serviceState) wasClearedSince(id string, crash time.Time) bool {
+	at, ok := s.clearedAt[id]
+
+	return ok && !crash.After(at.Add(maxMessageDelay))
 }
 
 // Clearances returns the parts that were cleared lately, by this daemon or by others.
--- a/internal/serve/quarantine/combination.go
+++ b/internal/serve/quarantine/combination.go
@@ -28,6 +28,8 @@
 	minImportPeriod = time.Second
 	// waitingPeriod is the time after its last slot request for which a rejected request counts as waiting for a trial.
 	waitingPeriod = 5 * time.Second
+	// maxMessageDelay is the usual delay of a message between daemons.
+	maxMessageDelay = 100 * time.Millisecond
 	// maxWaiting bounds the requests of a combination that are known to wait for a trial.
 	maxWaiting = 256
 )
@@ -39,6 +41,10 @@
 	lastNumber int      // number of the last of these crashes that this daemon knows of
 	lastCrash  time.Time
 	manyAt     time.Time // when crashes reached manyCrashes
+
+	// mergedUntil is the time of the last crash that an entry of another daemon includes, with the delay of a message.
+	mergedUntil time.Time
+
 	trials     int       // that were started after manyCrashes
 	nextTrial  time.Time // earliest start of the next trial
 	failedAt   time.Time // end of the last trial, if a crash ended it
@@ -108,25 +114,27 @@
 
 // addCrash counts a crash under a prompt with the parts, and reports whether it has ended a trial.
 func (c *combination) addCrash(number int, n Crash, now time.Time) bool {
-	if number > c.lastNumber { // otherwise another attempt that the same crash has ended
+	// Another attempt that the same crash has ended does not count, nor does a crash that another daemon has counted.
+	isCounted := number <= c.lastNumber || now.Before(c.mergedUntil)
+	if !isCounted {
 		c.lastNumber, c.lastCrash = number, now
 		c.crashes++
 		c.noteMany(now)
 	}
 
-	if c.trial == "" || c.trial != n.slotRequest {
-		// Another daemon has started its trial, unless the request was sent before the quarantine.
-		if c.crashes > manyCrashes && now.Sub(c.manyAt) > settlingTime {
-			c.trials++
-			c.failedAt = now
-		}
+	if c.trial != "" && c.trial == n.slotRequest {
+		c.trial, c.failedAt = "", now
 
-		return false
+		return true
 	}
 
-	c.trial, c.failedAt = "", now
+	// Another daemon has started its trial, unless the request was sent before the quarantine.
+	if !isCounted && c.crashes > manyCrashes && now.Sub(c.manyAt) > settlingTime {
+		c.trials++
+		c.failedAt = now
+	}
 
-	return true
+	return false
 }
 
 // interval returns the time to the next trial after a failed one.
@@ -138,10 +146,8 @@
 	return trialInterval
 }
 
-// hasTrialsLeft reports whether further trials are allowed. A trial that is under way, or has timed out, may be replaced.
-func (c *combination) hasTrialsLeft() bool {
-	return c.crashes < manyCrashes || c.trials < maxTrials || c.trial != ""
-}
+// hasTrialsLeft reports whether further trials are allowed.
+func (c *combination) hasTrialsLeft() bool { return c.crashes < manyCrashes || c.trials < maxTrials }
 
 func (c *combination) isForgotten(now time.Time) bool { return now.Sub(c.lastCrash) >= memoryPeriod }
 
@@ -235,10 +241,7 @@
 
 	if c.crashes >= manyCrashes {
 		period = lateTrialPeriod
-
-		if c.trial == "" {
-			c.trials++
-		}
+		c.trials++
 	}
 
 	c.trial, c.trialUntil = a.slotRequest, now.Add(period)
@@ -254,13 +257,16 @@
 // endTrial ends the trial of a slot request that has shown nothing.
 func (c *combination) endTrial(sent bool, now time.Time) {
 	c.trial = ""
-	if c.crashes >= manyCrashes {
-		c.trials = max(0, c.trials-1)
-	}
 
-	c.nextTrial = now
 	if sent {
 		c.nextTrial = now.Add(trialInterval)
+
+		return
+	}
+
+	c.nextTrial = now
+	if c.crashes >= manyCrashes {
+		c.trials = max(0, c.trials-1)
 	}
 }
 
@@ -271,6 +277,10 @@
 	}
 
 	if e.crashes > c.crashes || e.trials > c.trials {
+		if e.crashes > c.crashes {
+			c.mergedUntil = now.Add(maxMessageDelay - e.age)
+		}
+
 		c.crashes, c.trials = max(c.crashes, e.crashes), max(c.trials, e.trials)
 		c.noteMany(now)
 
--- a/internal/serve/quarantine/evidence.go
+++ b/internal/serve/quarantine/evidence.go
@@ -44,14 +44,17 @@
 	e.crashes = slices.DeleteFunc(e.crashes, func(c suspectCrash) bool { return n.at.Sub(c.at) >= evidencePeriod })
 
 	for _, c := range e.crashes {
-		if c.incarnation() != n.incarnation() || n.at.Sub(c.at) >= crashSpacing {
+		if c.incarnation() != n.incarnation() {
 			continue
 		}
 
-		n.number, n.explained = c.number, c.explained
-
+		// The report of the crash may arrive again, and late.
 		if n.slotRequest != "" && c.slotRequest == n.slotRequest {
-			return n.number, false
+			return c.number, false
+		}
+
+		if n.at.Sub(c.at) < crashSpacing {
+			n.number, n.explained = c.number, c.explained
 		}
 	}
 
@@ -79,7 +82,8 @@
 // clearParts removes shared parts that are sound from all crashes.
 func (e *evidence) clearParts(parts []string) {
 	for i := range e.crashes {
-		e.crashes[i].prompt.shared = slices.DeleteFunc(e.crashes[i].prompt.shared, func(id string) bool { return slices.Contains(parts, id) })
+		// Reports of the crash use the old slice without the lock.
+		e.crashes[i].prompt.shared = slices.DeleteFunc(slices.Clone(e.crashes[i].prompt.shared), func(id string) bool { return slices.Contains(parts, id) })
 	}
 }
 
--- a/internal/serve/quarantine/registry.go
+++ b/internal/serve/quarantine/registry.go
@@ -43,6 +43,7 @@
 	evidence     evidence
 	combinations []*combination
 	cleared      []Clearance
+	clearedAt    map[string]time.Time // by part, when its last quarantine ended
 }
 
 // lock locks and returns the shard of a service.
@@ -276,6 +277,13 @@
 		}
 	}
 
+	// A request that cannot try one combination must not wait for the trials of another one.
+	for _, c := range l {
+		if !c.hasTrialsLeft() && c.trial != a.slotRequest {
+			return Admission{entry: c.entry(p.service, now), rejected: true}
+		}
+	}
+
 	for _, c := range l {
 		if !c.isReadyFor(a, now) {
 			return Admission{entry: c.entry(p.service, now), rejected: true}
@@ -347,7 +355,7 @@
 
 	for _, id := range e.parts {
 		switch {
-		case s.hasAnnounced(id, now): // the message was sent before its sender learned of that
+		case s.wasClearedSince(id, now.Add(-e.age)): // the sender has not learned of that
 		case r.sound.has(e.service, id, now):
 			sound = append(sound, id)
 		default:
@@ -357,7 +365,7 @@
 
 	slices.Sort(parts)
 
-	if len(sound) > 0 {
+	if slices.ContainsFunc(sound, func(id string) bool { return !s.isAnnounced(id, now) }) {
 		s.announce(NewClearance(e.service, sound, 0), now)
 	}
 
--- a/internal/serve/quarantine/registry_test.go
+++ b/internal/serve/quarantine/registry_test.go
@@ -284,13 +284,66 @@
 			So(at, ShouldResemble, []int{0, 20, 40, 160})
 		})
 
-		Convey("the last trial may be replaced if nothing is known of it", func() {
-			So(r.Import(quarantine.NewEntry("s", []string{"bad"}, 0).WithHistory(6, 1, 0), now), ShouldBeFalse)
-			So(admit(r, p, "last", now), ShouldBeTrue)
-			So(admit(r, p, "other", now.Add(9900*time.Millisecond)), ShouldBeFalse)
-			So(admit(r, p, "other", now.Add(10100*time.Millisecond)), ShouldBeTrue)
-			failTrial(r, p, "other", now.Add(11*time.Second))
-			So(admit(r, p, "third", now.Add(50*time.Minute)), ShouldBeFalse)
+		Convey("trials that may have reached a target count after the fifth crash, whatever becomes of them", func() {
+			So(r.Import(quarantine.NewEntry("s", []string{"bad"}, 0).WithHistory(5, 0, 0), now), ShouldBeFalse)
+
+			started := 0
+
+			for i := range 600 {
+				now, id := now.Add(time.Duration(i)*100*time.Millisecond), fmt.Sprint("a", i)
+				if r.Admit(p, quarantine.NewApplicant(id, id), now).HasStarted() {
+					started++
+
+					if started == 1 {
+						r.EndTrial("s", id, true, now)
+					}
+				}
+			}
+
+			So(started, ShouldEqual, 2)
+		})
+
+		Convey("an item that cannot try another one of its parts does not hold others back", func() {
+			So(r.Import(quarantine.NewEntry("s", []string{"worse"}, 0).WithHistory(7, 2, 0), now), ShouldBeTrue)
+
+			tried := 0
+
+			for i := range 20 {
+				now := now.Add(time.Duration(i) * time.Second)
+				So(admitItem(r, prompt("bad", "worse", "i1"), "i1", i, now), ShouldBeFalse)
+
+				if admitItem(r, prompt("bad", "i2"), "i2", i, now) {
+					tried++
+
+					r.EndTrial("s", fmt.Sprint("i2/", i), true, now)
+				}
+			}
+
+			So(tried, ShouldEqual, 10) // each two seconds
+		})
+
+		Convey("a crash counts once, however late and often it is reported", func() {
+			n := crashOf("t9").WithAttempt("slot", "r8", 0, 0)
+			r.AddCrash(p, n, now)
+			r.AddCrash(p, n, now.Add(5*time.Second))
+			r.ImportReport(quarantine.NewReport(p, n, 9*time.Second), now.Add(9*time.Second))
+			So(r.Entries(now)[0].Crashes(), ShouldEqual, 4)
+
+			other := &quarantine.Registry{}
+			other.Import(r.Entries(now)[0], now)
+			other.ImportReport(quarantine.NewReport(p, n, 0), now)
+			So(other.Entries(now)[0].Crashes(), ShouldEqual, 4)
+		})
+
+		Convey("reports of crashes do not change when a part is cleared", func() {
+			l := r.Reports(now)
+			So(l, ShouldNotBeEmpty)
+
+			r.MarkSound(prompt("bad", "r50"), now)
+
+			for _, n := range l {
+				So(n.Prompt().Parts()[0], ShouldEqual, "bad")
+			}
 		})
 
 		Convey("other requests may try as well if no item comes for its trial", func() {
@@ -387,9 +440,15 @@
 			}
 
 			for _, r := range l {
-				So(r.Clearances(at(11)), ShouldBeEmpty)
-				So(isRejected(r, prompt("caller", "r2"), at(11)), ShouldBeFalse)
+				So(r.Clearances(at(12)), ShouldBeEmpty)
+				So(isRejected(r, prompt("caller", "r2"), at(12)), ShouldBeFalse)
 			}
+
+			Convey("and a daemon that has not learned of it does not bring the quarantine back", func() {
+				old := quarantine.NewEntry("s", []string{"caller"}, 0).WithHistory(7, 2, 100*time.Second)
+				So(l[0].Import(old, at(100)), ShouldBeFalse)
+				So(l[0].Import(old.WithHistory(8, 2, time.Second), at(100)), ShouldBeTrue)
+			})
 		})
 	})
 }
--- a/internal/serve/quarantine/report.go
+++ b/internal/serve/quarantine/report.go
@@ -5,9 +5,9 @@
 )
 
 const (
-	// reportPeriod is the time for which other daemons are told of a crash. It outlasts several heartbeats, as messages may be
-	// lost.
-	reportPeriod = 3 * time.Second
+	// reportPeriod is the time for which other daemons are told of a crash. It outlasts the interval between two heartbeats of
+	// hundreds of daemons.
+	reportPeriod = 10 * time.Second
 	// maxReports bounds the crashes of a service that other daemons are told of. The last ones are told.
 	maxReports = 16
 )
--- a/mesh/quarantine.go
+++ b/mesh/quarantine.go
@@ -6,8 +6,12 @@
 	"github.com/agategap/agategap/internal/serve/quarantine"
 )
 
-// maxQuarantinedPerMessage bounds the quarantined prompts in one message.
-const maxQuarantinedPerMessage = 128
+const (
+	// maxQuarantinedPerMessage bounds the quarantined prompts in one message.
+	maxQuarantinedPerMessage = 128
+	// minQuarantineCrashes is the least number of crashes before a quarantine. Daemons of earlier versions do not send it.
+	minQuarantineCrashes = 3
+)
 
 // Quarantine has the combinations of parts of prompts that must not get to targets.
 type Quarantine interface {
@@ -141,6 +145,6 @@
 
 	for _, q := range l[:min(len(l), maxQuarantinedPerMessage)] {
 		e := quarantine.NewEntry(q.Service, q.Parts, time.Duration(q.RemainingMS)*time.Millisecond)
-		m.quarantine.Import(e.WithHistory(q.Crashes, q.Trials, time.Duration(q.AgeMS)*time.Millisecond), peer)
+		m.quarantine.Import(e.WithHistory(max(minQuarantineCrashes, q.Crashes), q.Trials, time.Duration(q.AgeMS)*time.Millisecond), peer)
 	}
 }
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -372,12 +372,12 @@
 
 // isUnknownRunning is like IsRunning, for an incarnation that is newer than the known one. Its record was not read yet, or it
 // was lost before it could write one. The time is that since the first call, as the clocks of VMs differ.
-func (s *peerState) isUnknownRunning(start int64, now time.Time) bool {
-	if start > s.unknownStart {
-		s.unknownStart, s.unknownSince = start, now
+func (s *peerState) isUnknownRunning(start int64, n int, canDetect bool, now time.Time) bool {
+	if start > s.unknownStart || !canDetect {
+		s.unknownStart, s.unknownSince = max(start, s.unknownStart), now
 	}
 
-	return start == s.unknownStart && now.Sub(s.unknownSince) <= takeoverTimeout
+	return start == s.unknownStart && now.Sub(s.unknownSince) <= max(takeoverTimeout, peerTimeoutIntervals*HeartbeatInterval(n))
 }
 
 // IsRunning reports whether the incarnation of a daemon with the given start is presumed to continue its work, even if
@@ -398,7 +398,7 @@
 
 	switch {
 	case ok && s.peer.Start < start:
-		return s.isUnknownRunning(start, now)
+		return s.isUnknownRunning(start, n, canDetect, now)
 	case ok && s.peer.Start > start:
 		return false
 	case ok:
